--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,136 @@
+// dappletiller: the proxy. Reads its configuration, starts the parts, handles signals.
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "net/acceptor.hpp"
+#include "net/config.hpp"
+#include "net/discovery.hpp"
+#include "net/gateway.hpp"
+#include "net/log.hpp"
+#include "net/loop.hpp"
+#include "net/worker.hpp"
+
+namespace dappletiller {
+namespace {
+
+constexpr Micros kStopAccepting = 500'000;  // after SIGTERM: by then the front sends nobody here any more
+constexpr Micros kLookEvery = 10'000;       // whether all is answered
+
+// Of all descriptors; the rest is for the listener, discovery and the program itself.
+constexpr double kClientPart = 0.5;
+constexpr double kWorkerPart = 0.45;
+
+class Proxy final : private EventSink {
+ public:
+  Proxy(Log& log, Config config)
+      : log_(log),
+        config_(std::move(config)),
+        gateway_(loop_, log_, config_.settings),
+        workers_(loop_, log_, gateway_,
+                 {config_.dial_timeout, config_.idle_timeout, Part(config_.sockets, kWorkerPart)}),
+        acceptor_(loop_, log_, gateway_, Accepting(config_)),
+        discovery_(loop_, log_, gateway_,
+                   {config_.discovery, config_.discovery_text, config_.names, config_.known.version,
+                    config_.settings.ask_within}),
+        drain_timer_(loop_) {
+    gateway_.Connect(workers_, discovery_);
+  }
+
+  void Run() {
+    CatchSignals();
+    gateway_.Learn(config_.known);
+    acceptor_.Listen();
+    log_.Line("started as %s on port %u with %zu workers known", config_.name.c_str(), acceptor_.port(),
+              config_.known.entries.size());
+    loop_.Run();
+    log_.Line("stopped");
+  }
+
+ private:
+  static std::size_t Part(std::size_t all, double part) {
+    return static_cast<std::size_t>(static_cast<double>(all) * part);
+  }
+
+  static AcceptorOptions Accepting(const Config& config) {
+    AcceptorOptions options;
+    options.listen = config.listen;
+    options.classes = config.classes;
+    for (const auto& c : config.settings.classes) options.patience.push_back(c.deadline);
+    options.connections = Part(config.sockets, kClientPart);
+    return options;
+  }
+
+  void CatchSignals() {
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigprocmask(SIG_BLOCK, &set, nullptr);
+    signals_ = Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+    loop_.Watch(signals_.get(), this);
+  }
+
+  void OnReady(std::uint32_t) override {
+    signalfd_siginfo info;
+    bool told = false;
+    while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) told = true;
+    if (!told || stopping_) return;
+    stopping_ = true;
+    log_.Line("leaving: %zu calls open, %zu client connections", gateway_.open_calls(),
+              acceptor_.connections());
+    acceptor_.Drain();
+    drain_timer_.Set(kStopAccepting, [this] { Leave(); });
+  }
+
+  // Ends once all that was taken is answered and written.
+  void Leave() {
+    acceptor_.Close();
+    if (gateway_.open_calls() == 0 && acceptor_.connections() == 0) return loop_.Stop();
+    drain_timer_.Set(kLookEvery, [this] { Leave(); });
+  }
+
+  Log& log_;
+  Config config_;
+  Loop loop_;
+  Gateway gateway_;
+  WorkerLinks workers_;
+  Acceptor acceptor_;
+  Discovery discovery_;
+  Fd signals_;
+  Timer drain_timer_;
+  bool stopping_ = false;
+};
+
+Config Load() {
+  const char* path = std::getenv("BALANCER_CONFIG");
+  if (path == nullptr) throw ConfigError("BALANCER_CONFIG is not set");
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) throw ConfigError(std::string(path) + " cannot be read");
+  return ParseConfig(text.str());
+}
+
+}  // namespace
+}  // namespace dappletiller
+
+int main() {
+  dappletiller::Log log(stderr, "dappletiller");
+  try {
+    dappletiller::Proxy proxy(log, dappletiller::Load());
+    proxy.Run();
+    return 0;
+  } catch (const std::exception& e) {
+    log.Line("cannot start: %s", e.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/net/acceptor.cpp
@@ -0,0 +1,275 @@
+#include "net/acceptor.hpp"
+
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <system_error>
+#include <utility>
+
+namespace dappletiller {
+namespace {
+
+constexpr int kAcceptsAtOnce = 64;
+constexpr Micros kRetryAccept = 50'000;
+constexpr Micros kHeadTime = 10'000'000;   // for a request to come whole once it has begun
+constexpr Micros kIdleTime = 120'000'000;  // without any request
+constexpr Micros kWriteTime = 10'000'000;  // for a client to take its answer
+constexpr Micros kLinger = 1'000'000;      // for a client to read why we close
+
+}  // namespace
+
+// One client's connection, one call at a time.
+class Acceptor::Conn final : public Channel::Owner, public Caller {
+ public:
+  explicit Conn(Acceptor& acceptor)
+      : channel(acceptor.loop_, *this), acceptor_(acceptor), timer_(acceptor.loop_) {}
+
+  void Begin() {
+    if (parser_.begun()) {
+      timer_.Set(kHeadTime, [this] { Reject(408, "the request took too long to arrive"); });
+    } else {
+      timer_.Set(kIdleTime, [this] { acceptor_.Drop(*this); });
+    }
+  }
+
+  bool idle() const { return state_ == State::kReading && !parser_.begun(); }
+
+  // For the end of service: an unused connection goes, one in use goes with its answer.
+  void Leave() {
+    channel.Resume();
+    if (channel.open() && idle() && !channel.Stale()) acceptor_.Drop(*this);
+  }
+
+  // While a call is open the parser holds at most the start of the next request, and no more is read.
+  std::span<char> Room() override { return state_ == State::kClosing ? Waste() : parser_.Room(); }
+
+  void OnBytes(std::size_t n) override {
+    if (state_ == State::kClosing) return;
+    bool fresh = !parser_.begun();
+    parser_.Got(n);
+    if (state_ != State::kReading) return;
+    if (fresh) Begin();
+    Look();
+  }
+
+  void OnWritten() override {
+    if (state_ != State::kWriting) return;
+    if (!keep_) {
+      state_ = State::kClosing;
+      channel.EndSending();
+      timer_.Set(kLinger, [this] { acceptor_.Drop(*this); });
+      channel.Resume();
+      return;
+    }
+    state_ = State::kReading;
+    if (acceptor_.closed_ && !parser_.begun()) return Leave();
+    Begin();
+    Look();
+    channel.Resume();
+  }
+
+  void OnGone() override { acceptor_.Drop(*this); }
+
+  void Served(PayloadRef answer) override {
+    auto message = std::static_pointer_cast<const http::Message>(std::move(answer));
+    Answering();
+    http::WriteAnswer(message, keep_, &channel.out());
+    channel.Flush();
+  }
+  void Overloaded(Micros retry_after) override { Say(503, "overloaded, try again later", retry_after); }
+  void Failed() override { Say(502, "no worker answered", 0); }
+
+  // A client that goes while its call is open has left it.
+  void End() {
+    timer_.Clear();
+    channel.Close();
+    if (std::exchange(state_, State::kClosing) == State::kWaiting) acceptor_.gateway_.Left(call_);
+  }
+
+  Channel channel;
+  ConnList::iterator place;
+
+ private:
+  enum class State { kReading, kWaiting, kWriting, kClosing };
+
+  std::span<char> Waste() { return waste_; }
+
+  void Look() {
+    if (parser_.bad()) return Reject(parser_.error_status(), "the request is malformed or too large");
+    if (parser_.wants_continue()) {
+      parser_.continued();
+      channel.out().Add("HTTP/1.1 100 Continue\r\n\r\n");
+      channel.Flush();
+    }
+    if (!parser_.done() || !channel.open()) return;
+    http::MessageRef request = parser_.Take();
+    keep_ = request->keep_alive();
+    acceptor_.conns_.splice(acceptor_.conns_.end(), acceptor_.conns_, place);
+    if (request->path() == "/up") {
+      bool up = !acceptor_.draining_;
+      return Say(up ? 200 : 503, up ? "up" : "leaving", 0);
+    }
+    Call(std::move(request));
+  }
+
+  void Call(http::MessageRef request) {
+    if (request->method() != "GET" && request->method() != "POST") {
+      return Say(405, "only GET and POST are served", 0);
+    }
+    auto known = acceptor_.class_of_.find(std::string(request->Find("Request-Class").value_or("")));
+    if (known == acceptor_.class_of_.end()) return Say(400, "Request-Class is missing or unknown", 0);
+    if (request->Find("Request-Id").value_or("").empty()) return Say(400, "Request-Id is missing", 0);
+    Arrival arrival;
+    arrival.call_class = known->second;
+    Micros patience = acceptor_.options_.patience[static_cast<std::size_t>(known->second)];
+    if (auto stated = request->Find("Request-Timeout")) {
+      auto span = http::ParseTimeout(*stated);
+      if (!span) return Say(400, "Request-Timeout is malformed", 0);
+      patience = *span;
+    }
+    arrival.deadline = acceptor_.loop_.Now() + patience;
+    if (auto hint = request->Find("Work-Hint")) {
+      Micros work = 0;
+      auto [end, failed] = std::from_chars(hint->data(), hint->data() + hint->size(), work);
+      if (failed == std::errc() && end == hint->data() + hint->size() && work > 0) arrival.work_hint = work;
+    }
+    arrival.client_retry = request->Find("Client-Retry") == "1";
+    arrival.payload = std::move(request);
+    state_ = State::kWaiting;
+    timer_.Clear();
+    call_ = acceptor_.gateway_.NewCall();
+    acceptor_.gateway_.Arrive(call_, std::move(arrival), *this);
+  }
+
+  void Answering() {
+    state_ = State::kWriting;
+    if (acceptor_.draining_) keep_ = false;
+    timer_.Set(kWriteTime, [this] { acceptor_.Drop(*this); });
+  }
+
+  void Say(int status, std::string_view text, Micros retry_after) {
+    Answering();
+    http::WriteStatus(status, text, retry_after, keep_, &channel.out());
+    channel.Flush();
+  }
+
+  void Reject(int status, std::string_view text) {
+    keep_ = false;
+    acceptor_.log_.Line("acceptor: %d to a client: %.*s", status, static_cast<int>(text.size()), text.data());
+    Say(status, text, 0);
+  }
+
+  Acceptor& acceptor_;
+  http::Parser parser_{http::Parser::Kind::kRequest};
+  Timer timer_;
+  State state_ = State::kReading;
+  CallId call_ = 0;
+  bool keep_ = true;
+  std::array<char, 512> waste_;
+};
+
+Acceptor::Acceptor(Loop& loop, Log& log, Gateway& gateway, AcceptorOptions options)
+    : loop_(loop), log_(log), gateway_(gateway), options_(std::move(options)), pause_(loop) {
+  for (std::size_t i = 0; i < options_.classes.size(); ++i) {
+    class_of_[options_.classes[i]] = static_cast<int>(i);
+  }
+}
+
+Acceptor::~Acceptor() {
+  if (listener_) loop_.Forget(token_, listener_.get());
+}
+
+void Acceptor::Listen() {
+  auto check = [](bool fine, const char* what) {
+    if (!fine) throw std::system_error(errno, std::generic_category(), what);
+  };
+  listener_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  check(static_cast<bool>(listener_), "socket");
+  int on = 1;
+  ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(options_.listen.address);
+  address.sin_port = htons(options_.listen.port);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  socklen_t size = sizeof address;
+  check(::bind(listener_.get(), generic, size) == 0, "bind");
+  check(::listen(listener_.get(), SOMAXCONN) == 0, "listen");
+  check(::getsockname(listener_.get(), generic, &size) == 0, "getsockname");
+  port_ = ntohs(address.sin_port);
+  token_ = loop_.Watch(listener_.get(), this);
+  check(token_ != 0, "epoll_ctl");
+}
+
+void Acceptor::OnReady(std::uint32_t) { Accept(); }
+
+void Acceptor::Accept() {
+  waiting_ = false;
+  for (int i = 0; listener_; ++i) {
+    if (i == kAcceptsAtOnce) return loop_.Again(token_, EPOLLIN);
+    if (!MakeRoom()) {
+      waiting_ = true;  // Drop goes on from here
+      return;
+    }
+    Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd) {
+      if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+      if (errno == EINTR || errno == ECONNABORTED || errno == EPROTO) continue;
+      // Guards against spinning on a listener that stays ready while there are no descriptors.
+      log_.Line("acceptor: accept failed: %s", std::strerror(errno));
+      pause_.Set(kRetryAccept, [this] { Accept(); });
+      return;
+    }
+    auto conn = std::make_unique<Conn>(*this);
+    if (!conn->channel.Adopt(std::move(fd))) continue;
+    conns_.push_back(std::move(conn));
+    conns_.back()->place = std::prev(conns_.end());
+    conns_.back()->Begin();
+  }
+}
+
+// Room for one more connection, if need be by closing the longest unused one.
+bool Acceptor::MakeRoom() {
+  if (conns_.size() < options_.connections) return true;
+  for (auto& conn : conns_) {
+    if (!conn->idle()) continue;
+    Conn& unused = *conn;
+    unused.Leave();
+    if (conns_.size() < options_.connections) return true;
+    break;
+  }
+  log_.Line("acceptor: all %zu connections in use, new ones wait", options_.connections);
+  return false;
+}
+
+void Acceptor::Drop(Conn& conn) {
+  std::unique_ptr<Conn> owned = std::move(*conn.place);
+  conns_.erase(conn.place);
+  owned->End();
+  loop_.Dispose(std::move(owned));
+  if (waiting_ && listener_) loop_.Again(token_, EPOLLIN);
+}
+
+void Acceptor::Close() {
+  if (closed_) return;
+  // What has been accepted by the kernel is ours already.
+  for (int i = 0; i < SOMAXCONN / kAcceptsAtOnce; ++i) Accept();
+  closed_ = draining_ = true;
+  pause_.Clear();
+  if (listener_) loop_.Forget(token_, listener_.get());
+  listener_.Reset();
+  // One that leaves may take others with it; those that went are freed only after this round.
+  std::vector<Conn*> all;
+  for (auto& conn : conns_) all.push_back(conn.get());
+  for (Conn* conn : all) {
+    if (conn->channel.open() && conn->idle()) conn->Leave();
+  }
+}
+
+}  // namespace dappletiller
--- /dev/null
+++ b/src/net/acceptor.hpp
@@ -0,0 +1,64 @@
+// The clients' side over HTTP: takes connections and calls, gives final answers.
+#ifndef DAPPLETILLER_NET_ACCEPTOR_HPP_
+#define DAPPLETILLER_NET_ACCEPTOR_HPP_
+
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "net/channel.hpp"
+#include "net/gateway.hpp"
+#include "net/log.hpp"
+#include "net/loop.hpp"
+
+namespace dappletiller {
+
+struct AcceptorOptions {
+  Endpoint listen;
+  std::vector<std::string> classes;  // by their places in the settings
+  std::vector<Micros> patience;      // of a class, for clients that state none
+  std::size_t connections = 0;
+};
+
+class Acceptor final : private EventSink {
+ public:
+  Acceptor(Loop& loop, Log& log, Gateway& gateway, AcceptorOptions options);
+  ~Acceptor();
+
+  void Listen();  // throws std::system_error
+  std::uint16_t port() const { return port_; }
+  // From now on every answer asks its client to leave; new connections are still served.
+  void Drain() { draining_ = true; }
+  // No more connections; what is open ends with its answer, what is idle ends now.
+  void Close();
+  std::size_t connections() const { return conns_.size(); }
+
+ private:
+  class Conn;
+  using ConnList = std::list<std::unique_ptr<Conn>>;
+
+  void OnReady(std::uint32_t events) override;
+  void Accept();
+  bool MakeRoom();
+  void Drop(Conn& conn);
+
+  Loop& loop_;
+  Log& log_;
+  Gateway& gateway_;
+  AcceptorOptions options_;
+  std::unordered_map<std::string, int> class_of_;
+  Fd listener_;
+  Loop::Token token_ = 0;
+  Timer pause_;  // after accept failed for want of descriptors
+  std::uint16_t port_ = 0;
+  ConnList conns_;  // the longest unused first
+  bool draining_ = false;
+  bool closed_ = false;
+  bool waiting_ = false;  // connections wait in the kernel
+};
+
+}  // namespace dappletiller
+
+#endif  // DAPPLETILLER_NET_ACCEPTOR_HPP_
--- /dev/null
+++ b/src/net/channel.hpp
@@ -0,0 +1,62 @@
+// The thin driver between a socket and whoever speaks a protocol on it.
+#ifndef DAPPLETILLER_NET_CHANNEL_HPP_
+#define DAPPLETILLER_NET_CHANNEL_HPP_
+
+#include <span>
+
+#include "net/http.hpp"
+#include "net/loop.hpp"
+#include "net/types.hpp"
+
+namespace dappletiller {
+
+class Channel final : private EventSink {
+ public:
+  // Callbacks may close the channel, but must leave freeing it to Loop::Dispose.
+  class Owner {
+   public:
+    virtual std::span<char> Room() = 0;  // empty: read no further for now
+    virtual void OnBytes(std::size_t n) = 0;
+    virtual void OnConnected() {}
+    virtual void OnWritten() {}  // all that was to be written is
+    virtual void OnGone() = 0;   // nothing more will come; not called after Close
+
+   protected:
+    ~Owner() = default;
+  };
+
+  Channel(Loop& loop, Owner& owner) : loop_(loop), owner_(owner) {}
+  ~Channel() { Close(); }
+  Channel(const Channel&) = delete;
+  Channel& operator=(const Channel&) = delete;
+
+  bool Adopt(Fd fd);                    // an accepted connection
+  bool Connect(const Endpoint& where);  // false: it failed at once
+  bool open() const { return static_cast<bool>(fd_); }
+  http::Outbox& out() { return out_; }
+  void Flush();   // writes what is in out() as far as it goes now
+  void Resume();  // there is room again
+  // Whether the other side has closed, or sent something, without our having been told yet.
+  bool Stale() const;
+  void EndSending();  // half-close
+  void Close();
+
+ private:
+  void OnReady(std::uint32_t events) override;
+  void Read();
+  void Gone();
+  bool Register();
+
+  Loop& loop_;
+  Owner& owner_;
+  Fd fd_;
+  Loop::Token token_ = 0;
+  http::Outbox out_;
+  bool connecting_ = false;
+  bool reading_ = false;  // within Read: a callback's Resume must not nest
+  bool readable_ = false;
+};
+
+}  // namespace dappletiller
+
+#endif  // DAPPLETILLER_NET_CHANNEL_HPP_
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,205 @@
+#include "net/config.hpp"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <exception>
+#include <memory>
+
+#include "wire.hpp"
+
+namespace dappletiller {
+namespace {
+
+Json::Value ParseJson(std::string_view text) {
+  Json::CharReaderBuilder builder;
+  builder["collectComments"] = false;
+  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string errors;
+  if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors)) {
+    errors = errors.substr(0, 200);
+    std::replace(errors.begin(), errors.end(), '\n', ' ');
+    throw ConfigError("not JSON: " + errors);
+  }
+  return value;
+}
+
+std::string Plain(const Json::Value& value) {
+  std::string text;
+  if (value.isIntegral() && !value.isBool()) {
+    text = value.asString();
+  } else if (value.isDouble()) {
+    char digits[40];
+    auto end = std::to_chars(digits, digits + sizeof digits, value.asDouble()).ptr;
+    text.assign(digits, end);
+  } else if (!value.isNull()) {
+    text = value.asString();
+  }
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c == ' ' || c == ',' || c == '\n'; }, '_');
+  return text;
+}
+
+// Nested JSON as the path=value lines in which the adapter gets the same settings, so that both give every
+// name the same meaning.
+void Flatten(const std::string& path, const Json::Value& value, std::string* lines) {
+  if (value.isObject()) {
+    for (const std::string& name : value.getMemberNames()) {
+      Flatten(path.empty() ? name : path + "." + name, value[name], lines);
+    }
+    return;
+  }
+  if (!value.isArray()) {
+    *lines += path + "=" + Plain(value) + "\n";
+    return;
+  }
+  bool plain = std::none_of(value.begin(), value.end(), [](const Json::Value& v) { return v.isObject(); });
+  if (plain) {
+    std::string list;
+    for (const Json::Value& v : value) {
+      if (!list.empty()) list.push_back(',');
+      list += Plain(v);
+    }
+    *lines += path + "=" + list + "\n";
+    // An empty list may be one of objects.
+    if (value.empty()) *lines += path + ".count=0\n";
+    return;
+  }
+  *lines += path + ".count=" + std::to_string(value.size()) + "\n";
+  for (Json::ArrayIndex i = 0; i < value.size(); ++i) {
+    Flatten(path + "." + std::to_string(i), value[i], lines);
+  }
+}
+
+const Json::Value& Member(const Json::Value& object, const char* name) {
+  if (!object.isObject() || !object.isMember(name)) throw ConfigError(std::string(name) + " is missing");
+  return object[name];
+}
+
+std::string Text(const Json::Value& object, const char* name) {
+  const Json::Value& value = Member(object, name);
+  if (!value.isString()) throw ConfigError(std::string(name) + " is not a string");
+  return value.asString();
+}
+
+double Number(const Json::Value& object, const char* name) {
+  const Json::Value& value = Member(object, name);
+  if (!value.isNumeric() || !std::isfinite(value.asDouble()) || value.asDouble() < 0 ||
+      value.asDouble() > 1e15) {
+    throw ConfigError(std::string(name) + " is not a number in range");
+  }
+  return value.asDouble();
+}
+
+std::vector<std::string> Strings(const Json::Value& object, const char* name) {
+  std::vector<std::string> all;
+  const Json::Value& list = Member(object, name);
+  if (!list.isArray()) throw ConfigError(std::string(name) + " is not a list");
+  for (const Json::Value& value : list) {
+    if (!value.isString()) throw ConfigError(std::string(name) + " holds something that is not a string");
+    all.push_back(value.asString());
+  }
+  return all;
+}
+
+Endpoint Address(const Json::Value& object, const char* name) {
+  auto endpoint = ParseEndpoint(Text(object, name));
+  if (!endpoint) throw ConfigError(std::string(name) + " is not an address and port");
+  return *endpoint;
+}
+
+int PlaceOf(const std::vector<std::string>& names, const std::string& name) {
+  auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+WorkerEntry ReadEntry(const Json::Value& value, const Names& names) {
+  WorkerEntry entry;
+  entry.uid = Text(value, "uid");
+  std::string state = Text(value, "state");
+  if (state == "removed") {
+    entry.state = WorkerState::kGone;
+  } else if (state == "draining") {
+    entry.state = WorkerState::kDraining;
+  } else if (state != "up") {
+    throw ConfigError("unknown state " + state.substr(0, 40));
+  }
+  if (entry.state != WorkerState::kGone || value.isMember("endpoint")) {
+    entry.endpoint = Address(value, "endpoint");
+  }
+  entry.zone = PlaceOf(names.zones, Text(value, "az"));
+  // A kind that the settings don't name still is a kind of its own.
+  entry.kind = value.isMember("model") ? PlaceOf(names.kinds, Text(value, "model")) : -1;
+  if (value.isMember("pod_group")) entry.cell = static_cast<int>(Number(value, "pod_group"));
+  if (value.isMember("capacity_hint")) entry.size = Number(value, "capacity_hint");
+  if (value.isMember("boot_ms")) entry.boot_unix = static_cast<Micros>(Number(value, "boot_ms")) * 1000;
+  return entry;
+}
+
+WorkerList ReadList(const Json::Value& value, const Names& names) {
+  WorkerList list;
+  list.version = static_cast<std::uint64_t>(Number(value, "rev"));
+  const Json::Value& all = Member(value, "all");
+  if (!all.isBool()) throw ConfigError("all is neither true nor false");
+  list.kind = all.asBool() ? WorkerList::Kind::kFull : WorkerList::Kind::kChanges;
+  const Json::Value& targets = Member(value, "targets");
+  if (!targets.isArray()) throw ConfigError("targets is not a list");
+  for (const Json::Value& target : targets) list.entries.push_back(ReadEntry(target, names));
+  return list;
+}
+
+Config ReadConfig(const Json::Value& root) {
+  Config config;
+  config.name = Text(root, "name");
+  config.listen = Address(root, "listen");
+  config.discovery = Address(root, "discovery");
+  config.discovery_text = Text(root, "discovery");
+  config.sockets = static_cast<std::size_t>(Number(Member(root, "limits"), "sockets"));
+  if (config.sockets < 32) throw ConfigError("limits.sockets leaves no room to work");
+  const Json::Value& settings = Member(root, "settings");
+  std::string lines;
+  Flatten("", settings, &lines);
+  std::string seed = Text(root, "seed");
+  std::uint64_t number = 0;
+  auto [end, failed] = std::from_chars(seed.data(), seed.data() + seed.size(), number, 16);
+  if (failed != std::errc() || end != seed.data() + seed.size()) throw ConfigError("seed is not a number");
+  config.settings = sandstand::wire::ParseSettings(lines, number);
+  for (const Json::Value& c : Member(settings, "classes")) config.classes.push_back(Text(c, "name"));
+  config.names.zones = Strings(settings, "zones");
+  config.names.kinds = Strings(settings, "kinds");
+  const Json::Value& limits = Member(settings, "limits");
+  config.dial_timeout = static_cast<Micros>(Number(limits, "dialTimeout"));
+  config.idle_timeout = static_cast<Micros>(Number(limits, "connIdle"));
+  config.answer_grace = static_cast<Micros>(Number(Member(settings, "invariants"), "graceToAnswer"));
+  for (const auto& c : config.settings.classes) {
+    config.longest_deadline = std::max(config.longest_deadline, c.deadline);
+  }
+  config.known = ReadList(Member(root, "known"), config.names);
+  config.known.kind = WorkerList::Kind::kCached;
+  return config;
+}
+
+}  // namespace
+
+Config ParseConfig(std::string_view json) {
+  try {
+    return ReadConfig(ParseJson(json));
+  } catch (const ConfigError&) {
+    throw;
+  } catch (const std::exception& e) {  // the reader's limits, the settings' own errors
+    throw ConfigError(e.what());
+  }
+}
+
+std::optional<WorkerList> ParseList(std::string_view json, const Names& names) {
+  try {
+    return ReadList(ParseJson(json), names);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace dappletiller
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,118 @@
+#include "net/discovery.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dappletiller {
+namespace {
+
+constexpr Micros kAnswerTime = 2'000'000;    // beyond the wait that the call itself allows
+constexpr Micros kLongestWait = 60'000'000;  // that discovery grants
+
+}  // namespace
+
+// One connection to discovery with at most one question out on it.
+class Discovery::Asker final : public Channel::Owner {
+ public:
+  Asker(Discovery& discovery, bool watch)
+      : watch(watch), channel(discovery.loop_, *this), timer(discovery.loop_), discovery_(discovery) {}
+
+  void Ask(const std::string& target, Micros within) {
+    asking = true;
+    if (channel.open() && channel.Stale()) channel.Close();
+    if (!channel.open()) {
+      parser_ = http::Parser(http::Parser::Kind::kResponse);
+      channel.out() = http::Outbox();
+      if (!channel.Connect(discovery_.options_.where)) {
+        // Not from within the module's own call: it is told in the next round.
+        timer.Set(0, [this] { discovery_.Failed(*this, "cannot connect"); });
+        return;
+      }
+    }
+    channel.out().AddOwned("GET " + target + " HTTP/1.1\r\nHost: " + discovery_.options_.host + "\r\n\r\n");
+    channel.Flush();
+    if (!asking) return;
+    timer.Set(within, [this] {
+      channel.Close();
+      discovery_.Failed(*this, "no answer");
+    });
+  }
+
+  std::span<char> Room() override { return parser_.Room(); }
+  void OnBytes(std::size_t n) override {
+    parser_.Got(n);
+    Look();
+  }
+  void OnGone() override {
+    parser_.Ended();
+    if (asking && parser_.done()) return Look();
+    if (asking) discovery_.Failed(*this, "connection lost");
+  }
+
+  const bool watch;
+  bool asking = false;
+  Channel channel;
+  Timer timer;
+
+ private:
+  void Look() {
+    if (parser_.bad() || !asking) {
+      channel.Close();
+      if (asking) discovery_.Failed(*this, "malformed answer");
+      return;
+    }
+    if (!parser_.done()) return;
+    http::MessageRef answer = parser_.Take();
+    asking = false;
+    timer.Clear();
+    if (!answer->keep_alive()) channel.Close();
+    discovery_.Answered(*this, *answer);
+  }
+
+  Discovery& discovery_;
+  http::Parser parser_{http::Parser::Kind::kResponse};
+};
+
+Discovery::Discovery(Loop& loop, Log& log, Gateway& gateway, DiscoveryOptions options)
+    : loop_(loop), log_(log), gateway_(gateway), options_(std::move(options)), version_(options_.version) {}
+
+Discovery::~Discovery() = default;
+
+// The first call of a watch doesn't wait, so that the module soon knows that it is subscribed and what it
+// missed. A call already out will bring that news as well.
+void Discovery::Watch() { Ask(watch_, true, 0); }
+void Discovery::Fetch() { Ask(fetch_, false, 0); }
+
+void Discovery::Ask(std::unique_ptr<Asker>& asker, bool watch, Micros wait) {
+  if (asker == nullptr) asker = std::make_unique<Asker>(*this, watch);
+  if (asker->asking) return;
+  std::string target = "/discovery/hosts";
+  if (watch) {
+    target += "?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait / 1000);
+  }
+  asker->Ask(target, wait + kAnswerTime);
+}
+
+void Discovery::Answered(Asker& asker, const http::Message& answer) {
+  std::optional<WorkerList> list;
+  if (answer.status() == 200) list = ParseList(answer.body(), options_.names);
+  if (!list) return Failed(asker, answer.status() == 200 ? "malformed list" : "turned down");
+  // A late answer to a fetch must not undo what the watch has told since.
+  bool old = !asker.watch && list->version < version_;
+  if (!old) version_ = list->version;
+  // The next call of the watch leaves first: it has to come within 200 ms, whatever the list sets off. Its
+  // wait is half of what may pass without asking, so that a silent discovery is noticed in time.
+  if (asker.watch) Ask(watch_, true, std::min(kLongestWait, options_.ask_within / 2));
+  if (!old) gateway_.Learn(*list);
+}
+
+void Discovery::Failed(Asker& asker, const char* why) {
+  asker.asking = false;
+  asker.timer.Clear();
+  log_.Line("discovery: a %s failed: %s", asker.watch ? "watch" : "fetch", why);
+  WorkerList failed;
+  failed.kind = WorkerList::Kind::kFailed;
+  gateway_.Learn(failed);
+}
+
+}  // namespace dappletiller
--- /dev/null
+++ b/src/net/discovery.hpp
@@ -0,0 +1,49 @@
+// Follows the list of workers over HTTP: a watch that goes on by itself until it fails, and single fetches.
+#ifndef DAPPLETILLER_NET_DISCOVERY_HPP_
+#define DAPPLETILLER_NET_DISCOVERY_HPP_
+
+#include <memory>
+#include <string>
+
+#include "net/channel.hpp"
+#include "net/config.hpp"
+#include "net/gateway.hpp"
+#include "net/log.hpp"
+#include "net/loop.hpp"
+
+namespace dappletiller {
+
+struct DiscoveryOptions {
+  Endpoint where;
+  std::string host;
+  Names names;
+  std::uint64_t version = 0;  // of the list that is held at the start
+  Micros ask_within = 0;
+};
+
+class Discovery final : public ListSource {
+ public:
+  Discovery(Loop& loop, Log& log, Gateway& gateway, DiscoveryOptions options);
+  ~Discovery();
+
+  void Watch() override;
+  void Fetch() override;
+
+ private:
+  class Asker;
+  void Ask(std::unique_ptr<Asker>& asker, bool watch, Micros wait);
+  void Answered(Asker& asker, const http::Message& answer);
+  void Failed(Asker& asker, const char* why);
+
+  Loop& loop_;
+  Log& log_;
+  Gateway& gateway_;
+  DiscoveryOptions options_;
+  std::uint64_t version_;
+  std::unique_ptr<Asker> watch_;
+  std::unique_ptr<Asker> fetch_;
+};
+
+}  // namespace dappletiller
+
+#endif  // DAPPLETILLER_NET_DISCOVERY_HPP_
--- /dev/null
+++ b/src/net/gateway.cpp
@@ -0,0 +1,244 @@
+#include "net/gateway.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace dappletiller {
+namespace {
+
+// The seam between the names of this code and the module's.
+sandstand::Outcome Translate(DelegationEnd end) {
+  switch (end) {
+    case DelegationEnd::kAnswered:
+      return sandstand::Outcome::kServed;
+    case DelegationEnd::kError:
+      return sandstand::Outcome::kError;
+    case DelegationEnd::kTurnedAway:
+      return sandstand::Outcome::kFull;
+    case DelegationEnd::kTimedOut:
+      return sandstand::Outcome::kTimeout;
+    case DelegationEnd::kUnreachable:
+      return sandstand::Outcome::kConnectFailed;
+    case DelegationEnd::kReset:
+      return sandstand::Outcome::kReset;
+    case DelegationEnd::kGivenUp:
+      return sandstand::Outcome::kCancelled;
+    case DelegationEnd::kNotSent:
+      return sandstand::Outcome::kNotSent;
+  }
+  return sandstand::Outcome::kReset;
+}
+
+sandstand::ServerState Translate(WorkerState state) {
+  switch (state) {
+    case WorkerState::kReady:
+      return sandstand::ServerState::kReady;
+    case WorkerState::kDraining:
+      return sandstand::ServerState::kDraining;
+    case WorkerState::kGone:
+      break;
+  }
+  return sandstand::ServerState::kGone;
+}
+
+sandstand::ListUpdate::Kind Translate(WorkerList::Kind kind) {
+  switch (kind) {
+    case WorkerList::Kind::kChanges:
+      return sandstand::ListUpdate::Kind::kChanges;
+    case WorkerList::Kind::kFull:
+      return sandstand::ListUpdate::Kind::kFull;
+    case WorkerList::Kind::kCached:
+      return sandstand::ListUpdate::Kind::kCached;
+    case WorkerList::Kind::kFailed:
+      break;
+  }
+  return sandstand::ListUpdate::Kind::kFailed;
+}
+
+}  // namespace
+
+Gateway::Gateway(Loop& loop, Log& log, const sandstand::Settings& settings)
+    : loop_(loop), log_(log), balancer_(settings), wake_(loop) {}
+
+void Gateway::Connect(Workers& workers, ListSource& list) {
+  workers_ = &workers;
+  list_ = &list;
+}
+
+// Carrying an action out may bring the next event at once (a connection refused on the spot). Such an event
+// waits until the actions at hand are done: the module must not be entered twice, and order counts.
+void Gateway::Deliver(sandstand::Event event) {
+  events_.push_back(std::move(event));
+  if (delivering_) return;
+  delivering_ = true;
+  std::vector<sandstand::Action> actions;
+  while (!events_.empty()) {
+    sandstand::Event next = std::move(events_.front());
+    events_.pop_front();
+    actions.clear();
+    balancer_.Handle(loop_.Now(), next, &actions);
+    for (const sandstand::Action& action : actions) {
+      std::visit([this](const auto& a) { Carry(a); }, action);
+    }
+  }
+  delivering_ = false;
+  for (CallId id : std::exchange(over_, {})) ForgetIfOver(id);
+}
+
+void Gateway::Arrive(CallId id, Arrival arrival, Caller& caller) {
+  Call& call = calls_[id];
+  call.caller = &caller;
+  call.payload = std::move(arrival.payload);
+  ++open_calls_;
+  sandstand::RequestArrived event;
+  event.id = id;
+  event.request_class = arrival.call_class;
+  event.deadline = arrival.deadline;
+  event.work_hint = arrival.work_hint.value_or(0);
+  event.has_hint = arrival.work_hint.has_value();
+  event.client_retry = arrival.client_retry;
+  Deliver(event);
+}
+
+// Ends a call towards its caller; null if that has been done before.
+Caller* Gateway::Close(CallId id) {
+  auto it = calls_.find(id);
+  if (it == calls_.end() || it->second.caller == nullptr) return nullptr;
+  --open_calls_;
+  return std::exchange(it->second.caller, nullptr);
+}
+
+// Guards against an action for a call that went while its event still waited: the module, not yet told, may
+// send it once more and is owed an outcome with the right number.
+void Gateway::ForgetIfOver(CallId id) {
+  if (delivering_) {
+    over_.push_back(id);
+    return;
+  }
+  auto it = calls_.find(id);
+  if (it != calls_.end() && it->second.caller == nullptr && it->second.out == 0) calls_.erase(it);
+}
+
+void Gateway::Left(CallId id) {
+  if (Close(id) == nullptr) return;
+  Deliver(sandstand::ClientLeft{id});
+  ForgetIfOver(id);
+}
+
+void Gateway::Ended(DelegationKey key, DelegationEnd end, PayloadRef answer) {
+  auto it = calls_.find(key.call);
+  if (it == calls_.end() || key.number >= static_cast<int>(it->second.delegations.size())) return;
+  Sent& sent = it->second.delegations[static_cast<std::size_t>(key.number)];
+  // Guards against a second outcome of one delegation: the module is owed exactly one.
+  if (!sent.out) return;
+  sent.out = false;
+  sent.limit.reset();
+  --it->second.out;
+  // The first answer of a worker is the call's; a later one comes to nobody.
+  Caller* caller = end == DelegationEnd::kAnswered ? Close(key.call) : nullptr;
+  sandstand::AttemptEnded event;
+  event.id = key.call;
+  event.attempt = key.number;
+  event.outcome = Translate(end);
+  event.latency = std::max<Micros>(0, loop_.Now() - sent.at);
+  event.request_finished = it->second.caller == nullptr;
+  if (caller != nullptr) caller->Served(std::move(answer));
+  Deliver(std::move(event));
+  ForgetIfOver(key.call);
+}
+
+void Gateway::Learn(const WorkerList& list) {
+  sandstand::ListUpdate event;
+  event.kind = Translate(list.kind);
+  std::set<std::string> named;
+  for (const WorkerEntry& entry : list.entries) {
+    auto [it, fresh] = workers_by_uid_.try_emplace(entry.uid);
+    if (fresh) it->second.id = ++worker_ids_;
+    it->second.state = entry.state;
+    named.insert(entry.uid);
+    if (entry.state != WorkerState::kGone) workers_->Locate(it->second.id, entry.endpoint);
+    if (entry.state != WorkerState::kReady) workers_->Release(it->second.id);
+    sandstand::ServerEntry server;
+    server.id = it->second.id;
+    server.zone = entry.zone;
+    server.kind = entry.kind;
+    server.cell = entry.cell;
+    server.state = Translate(entry.state);
+    server.size = entry.size;
+    // The loop's clock began as Unix time and runs at the same pace, so that a start's time, converted again
+    // with each list, never seems to change: to the module that would be a restart.
+    server.started_at = entry.boot_unix;
+    event.entries.push_back(server);
+  }
+  if (list.kind == WorkerList::Kind::kFull || list.kind == WorkerList::Kind::kCached) {
+    for (auto& [uid, known] : workers_by_uid_) {
+      if (known.state == WorkerState::kGone || named.count(uid) != 0) continue;
+      known.state = WorkerState::kGone;
+      workers_->Release(known.id);
+    }
+  }
+  Deliver(std::move(event));
+}
+
+// ---- Actions ----
+
+void Gateway::Carry(const sandstand::Send& action) {
+  auto it = calls_.find(action.id);
+  if (it == calls_.end()) return;
+  Call& call = it->second;
+  DelegationKey key{action.id, static_cast<int>(call.delegations.size())};
+  Sent& sent = call.delegations.emplace_back();
+  ++call.out;
+  sent.at = loop_.Now();
+  if (call.caller == nullptr) return Ended(key, DelegationEnd::kNotSent, nullptr);
+  if (action.timeout <= 0) return Ended(key, DelegationEnd::kTimedOut, nullptr);
+  sent.limit = std::make_unique<Timer>(loop_);
+  sent.limit->Set(action.timeout, [this, key] {
+    workers_->GiveUp(key);
+    Ended(key, DelegationEnd::kTimedOut, nullptr);
+  });
+  workers_->Start({key, action.server, action.timeout, call.payload});
+}
+
+void Gateway::Carry(const sandstand::Refuse& action) {
+  Caller* caller = Close(action.id);
+  if (caller != nullptr) caller->Overloaded(action.retry_after);
+  ForgetIfOver(action.id);
+}
+
+void Gateway::Carry(const sandstand::Fail& action) {
+  Caller* caller = Close(action.id);
+  if (caller != nullptr) caller->Failed();
+  ForgetIfOver(action.id);
+}
+
+void Gateway::Carry(const sandstand::Cancel& action) {
+  DelegationKey key{action.id, action.attempt};
+  auto it = calls_.find(action.id);
+  if (it == calls_.end() || action.attempt < 0 ||
+      action.attempt >= static_cast<int>(it->second.delegations.size()) ||
+      !it->second.delegations[static_cast<std::size_t>(action.attempt)].out) {
+    return;  // it ended while this action was on its way
+  }
+  workers_->GiveUp(key);
+  Ended(key, DelegationEnd::kGivenUp, nullptr);
+}
+
+// The module may ask for more wake-ups than it needs; the earliest is enough, since each event has it ask for
+// the next.
+void Gateway::Carry(const sandstand::WakeAfter& action) {
+  Micros at = loop_.Now() + action.delay;
+  if (wake_at_ != 0 && wake_at_ <= at) return;
+  wake_at_ = at;
+  wake_.Set(action.delay, [this] {
+    wake_at_ = 0;
+    Deliver(sandstand::TimerFired{});
+  });
+}
+
+void Gateway::Carry(const sandstand::Watch&) { list_->Watch(); }
+void Gateway::Carry(const sandstand::FetchList&) { list_->Fetch(); }
+void Gateway::Carry(const sandstand::Log& action) { log_.Line("module: %s", action.text.c_str()); }
+
+}  // namespace dappletiller
--- /dev/null
+++ b/src/net/gateway.hpp
@@ -0,0 +1,87 @@
+// Owns the decision module and the table of calls and delegations. It turns neutral arrivals and outcomes
+// into the module's events and carries its actions out. It decides nothing and knows no protocol.
+#ifndef DAPPLETILLER_NET_GATEWAY_HPP_
+#define DAPPLETILLER_NET_GATEWAY_HPP_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "net/log.hpp"
+#include "net/loop.hpp"
+#include "net/types.hpp"
+#include "sandstand/balancer.hpp"
+
+namespace dappletiller {
+
+class Gateway {
+ public:
+  // Throws std::invalid_argument for settings that the module can't work with.
+  Gateway(Loop& loop, Log& log, const sandstand::Settings& settings);
+  void Connect(Workers& workers, ListSource& list);
+
+  // From the acceptor's side. The caller is told the final answer once, unless it says Left first; that may
+  // happen before Arrive returns.
+  CallId NewCall() { return ++calls_begun_; }
+  void Arrive(CallId id, Arrival arrival, Caller& caller);
+  void Left(CallId id);
+  // From the workers' side: how a delegation ended; unknown ones are ignored.
+  void Ended(DelegationKey key, DelegationEnd end, PayloadRef answer);
+  // From discovery.
+  void Learn(const WorkerList& list);
+
+  std::size_t open_calls() const { return open_calls_; }
+  std::size_t table_size() const { return calls_.size(); }
+
+ private:
+  struct Sent {
+    bool out = true;
+    Micros at = 0;
+    std::unique_ptr<Timer> limit;
+  };
+  struct Call {
+    Caller* caller = nullptr;  // null once it has its answer or has left
+    PayloadRef payload;
+    std::vector<Sent> delegations;
+    int out = 0;
+  };
+  struct Known {
+    WorkerId id = 0;
+    WorkerState state = WorkerState::kGone;
+  };
+
+  void Deliver(sandstand::Event event);
+  void Carry(const sandstand::Send& action);
+  void Carry(const sandstand::Refuse& action);
+  void Carry(const sandstand::Fail& action);
+  void Carry(const sandstand::Cancel& action);
+  void Carry(const sandstand::WakeAfter& action);
+  void Carry(const sandstand::Watch& action);
+  void Carry(const sandstand::FetchList& action);
+  void Carry(const sandstand::Log& action);
+  Caller* Close(CallId id);
+  void ForgetIfOver(CallId id);
+
+  Loop& loop_;
+  Log& log_;
+  sandstand::Balancer balancer_;
+  Workers* workers_ = nullptr;
+  ListSource* list_ = nullptr;
+  std::unordered_map<CallId, Call> calls_;
+  std::unordered_map<std::string, Known> workers_by_uid_;
+  CallId calls_begun_ = 0;
+  WorkerId worker_ids_ = 0;
+  std::size_t open_calls_ = 0;
+  std::deque<sandstand::Event> events_;
+  bool delivering_ = false;
+  std::vector<CallId> over_;  // to be forgotten once all events are delivered
+  Micros wake_at_ = 0;
+  Timer wake_;
+};
+
+}  // namespace dappletiller
+
+#endif  // DAPPLETILLER_NET_GATEWAY_HPP_
--- /dev/null
+++ b/src/net/types.hpp
@@ -0,0 +1,127 @@
+// The neutral words between protocols, gateway and discovery. Nothing here knows a wire format, so a second
+// protocol can bring its own acceptor and worker links and go through the same decisions and rules.
+#ifndef DAPPLETILLER_NET_TYPES_HPP_
+#define DAPPLETILLER_NET_TYPES_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dappletiller {
+
+using Micros = std::int64_t;  // a point on the loop's clock, or a span
+using CallId = std::uint64_t;
+using WorkerId = std::uint32_t;
+
+// What a call or an answer carries through the gateway unread; each protocol derives its own.
+class Payload {
+ public:
+  virtual ~Payload() = default;
+};
+using PayloadRef = std::shared_ptr<const Payload>;
+
+// An IPv4 address in host byte order.
+struct Endpoint {
+  std::uint32_t address = 0;
+  std::uint16_t port = 0;
+  bool operator==(const Endpoint&) const = default;
+};
+std::optional<Endpoint> ParseEndpoint(std::string_view text);
+
+struct Arrival {
+  int call_class = 0;
+  Micros deadline = 0;  // when the client gives up
+  std::optional<Micros> work_hint;
+  bool client_retry = false;
+  PayloadRef payload;
+};
+
+// The side that waits for a call's one final answer. Exactly one of these is called, once.
+class Caller {
+ public:
+  virtual void Served(PayloadRef answer) = 0;
+  virtual void Overloaded(Micros retry_after) = 0;  // 0: no advice
+  virtual void Failed() = 0;
+
+ protected:
+  ~Caller() = default;
+};
+
+struct DelegationKey {
+  CallId call = 0;
+  int number = 0;
+  bool operator==(const DelegationKey&) const = default;
+};
+struct DelegationKeyHash {
+  std::size_t operator()(const DelegationKey& k) const {
+    return std::hash<std::uint64_t>()(k.call * 64 + static_cast<std::uint64_t>(k.number));
+  }
+};
+
+enum class DelegationEnd {
+  kAnswered,
+  kError,        // the worker answered with an error; it may have run
+  kTurnedAway,   // the worker says that it never ran
+  kTimedOut,     // no answer in time
+  kUnreachable,  // the request was never written whole
+  kReset,        // the connection broke after that; it may have run
+  kGivenUp,      // called off by us
+  kNotSent       // never left this process
+};
+
+struct Delegation {
+  DelegationKey key;
+  WorkerId worker = 0;
+  Micros wait = 0;  // how long the answer is waited for
+  PayloadRef payload;
+};
+
+// The side that carries delegations to workers. After GiveUp nothing more is reported of that delegation.
+class Workers {
+ public:
+  virtual void Start(const Delegation& delegation) = 0;
+  virtual void GiveUp(DelegationKey key) = 0;
+  virtual void Locate(WorkerId worker, const Endpoint& endpoint) = 0;
+  virtual void Release(WorkerId worker) = 0;  // takes no new work: its unused connections can go
+
+ protected:
+  ~Workers() = default;
+};
+
+enum class WorkerState { kGone, kReady, kDraining };
+
+struct WorkerEntry {
+  std::string uid;
+  Endpoint endpoint;
+  int zone = -1;
+  int kind = 0;
+  int cell = 0;
+  WorkerState state = WorkerState::kReady;
+  double size = 1;
+  Micros boot_unix = 0;  // Unix time of its start in microseconds; 0: long ago
+};
+
+struct WorkerList {
+  enum class Kind { kChanges, kFull, kCached, kFailed };
+  Kind kind = Kind::kFailed;
+  std::uint64_t version = 0;
+  std::vector<WorkerEntry> entries;
+};
+
+// Where the list of workers comes from.
+class ListSource {
+ public:
+  virtual void Watch() = 0;
+  virtual void Fetch() = 0;
+
+ protected:
+  ~ListSource() = default;
+};
+
+}  // namespace dappletiller
+
+#endif  // DAPPLETILLER_NET_TYPES_HPP_
--- /dev/null
+++ b/src/net/worker.cpp
@@ -0,0 +1,207 @@
+#include "net/worker.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dappletiller {
+namespace {
+
+// Part of the workers' idle time after which we close an unused connection ourselves. Guards against a
+// request that crosses the worker's own close: it would end as a reset and count as one that may have run.
+constexpr int kIdlePartNumerator = 3;
+constexpr int kIdlePartDenominator = 5;
+
+DelegationEnd Judge(const http::Message& answer) {
+  if (answer.status() == 200) return DelegationEnd::kAnswered;
+  bool refused = answer.status() == 503 || answer.status() == 504;
+  if (refused && answer.Find("Not-Started") == "1") return DelegationEnd::kTurnedAway;
+  return DelegationEnd::kError;
+}
+
+}  // namespace
+
+// One connection.
+class WorkerLinks::Link final : public Channel::Owner {
+ public:
+  Link(WorkerLinks& links, WorkerId worker, const Endpoint& endpoint)
+      : worker(worker), endpoint(endpoint), timer(links.loop_), channel(links.loop_, *this), links_(links) {}
+
+  void Send(const Delegation& delegation) {
+    key = delegation.key;
+    busy = true;
+    written_ = false;
+    // The payload is ours: this is the only protocol whose calls reach these links.
+    auto request = std::static_pointer_cast<const http::Message>(delegation.payload);
+    http::WriteRequest(request, delegation.wait, &channel.out());
+    channel.Flush();
+  }
+
+  std::span<char> Room() override { return parser_.Room(); }
+
+  void OnConnected() override { timer.Clear(); }
+  void OnWritten() override { written_ = true; }
+
+  void OnBytes(std::size_t n) override {
+    parser_.Got(n);
+    Look();
+  }
+
+  void OnGone() override {
+    parser_.Ended();
+    if (busy && parser_.done()) return Look();
+    if (!busy) return links_.DropIdle(*this);
+    // What was never written whole can't have run.
+    links_.Finish(*this, written_ ? DelegationEnd::kReset : DelegationEnd::kUnreachable, nullptr);
+  }
+
+  bool reusable() const { return reusable_ && channel.open(); }
+
+  WorkerId worker;
+  Endpoint endpoint;
+  DelegationKey key;
+  bool busy = false;
+  Timer timer;  // dialling, or idle
+  Channel channel;
+  LinkList::iterator place;  // while idle
+
+ private:
+  void Look() {
+    if (!busy) {  // bytes that nobody asked for: the next answer could be mistaken
+      channel.Close();
+      return links_.DropIdle(*this);
+    }
+    if (parser_.bad()) {
+      channel.Close();
+      return links_.Finish(*this, written_ ? DelegationEnd::kReset : DelegationEnd::kUnreachable, nullptr);
+    }
+    if (!parser_.done()) return;
+    http::MessageRef answer = parser_.Take();
+    // An answer before the request was written whole leaves a connection with half a request on it.
+    reusable_ = answer->keep_alive() && written_ && !parser_.begun();
+    DelegationEnd end = Judge(*answer);
+    links_.Finish(*this, end, std::move(answer));
+  }
+
+  WorkerLinks& links_;
+  http::Parser parser_{http::Parser::Kind::kResponse};
+  bool written_ = false;
+  bool reusable_ = false;
+};
+
+WorkerLinks::WorkerLinks(Loop& loop, Log& log, Gateway& gateway, const WorkerLimits& limits)
+    : loop_(loop), log_(log), gateway_(gateway), limits_(limits) {}
+
+WorkerLinks::~WorkerLinks() = default;
+
+void WorkerLinks::Locate(WorkerId worker, const Endpoint& endpoint) {
+  Pool& pool = pools_[worker];
+  if (!(pool.endpoint == endpoint)) Release(worker);
+  pool.endpoint = endpoint;
+}
+
+void WorkerLinks::Release(WorkerId worker) {
+  auto it = pools_.find(worker);
+  if (it == pools_.end()) return;
+  while (!it->second.idle.empty()) DropIdle(*it->second.idle.back());
+}
+
+void WorkerLinks::Start(const Delegation& delegation) {
+  auto it = pools_.find(delegation.worker);
+  if (it == pools_.end()) return gateway_.Ended(delegation.key, DelegationEnd::kNotSent, nullptr);
+  std::unique_ptr<Link> link = TakeIdle(it->second);
+  if (link == nullptr) {
+    if (!MakeRoom()) {
+      log_.Line("worker: all %zu connections in use, a call is not sent", limits_.connections);
+      return gateway_.Ended(delegation.key, DelegationEnd::kNotSent, nullptr);
+    }
+    link = std::make_unique<Link>(*this, delegation.worker, it->second.endpoint);
+    if (!link->channel.Connect(it->second.endpoint)) {
+      return gateway_.Ended(delegation.key, DelegationEnd::kUnreachable, nullptr);
+    }
+    ++count_;
+    Link* dialled = link.get();
+    link->timer.Set(limits_.dial, [this, dialled] {
+      dialled->channel.Close();
+      Finish(*dialled, DelegationEnd::kUnreachable, nullptr);
+    });
+  }
+  Link& started = *link;
+  busy_[delegation.key] = std::move(link);
+  started.Send(delegation);
+}
+
+// The most recently used idle connection that still stands.
+std::unique_ptr<WorkerLinks::Link> WorkerLinks::TakeIdle(Pool& pool) {
+  while (!pool.idle.empty()) {
+    std::unique_ptr<Link> link = std::move(pool.idle.back());
+    pool.idle.pop_back();
+    link->timer.Clear();
+    // Guards against writing into a connection whose end is known to the kernel but not yet to us.
+    if (!link->channel.Stale()) return link;
+    Discard(std::move(link));
+  }
+  return nullptr;
+}
+
+// Room for one more connection, if need be by closing an unused one.
+bool WorkerLinks::MakeRoom() {
+  if (count_ < limits_.connections) return true;
+  for (auto& [id, pool] : pools_) {
+    if (pool.idle.empty()) continue;
+    DropIdle(*pool.idle.front());
+    return true;
+  }
+  return false;
+}
+
+// Giving up means closing: the worker stops its work when the connection goes.
+void WorkerLinks::GiveUp(DelegationKey key) {
+  auto it = busy_.find(key);
+  if (it == busy_.end()) return;
+  std::unique_ptr<Link> link = std::move(it->second);
+  busy_.erase(it);
+  Discard(std::move(link));
+}
+
+void WorkerLinks::Finish(Link& link, DelegationEnd end, PayloadRef answer) {
+  auto it = busy_.find(link.key);
+  if (it == busy_.end()) return;
+  std::unique_ptr<Link> owned = std::move(it->second);
+  busy_.erase(it);
+  owned->busy = false;
+  DelegationKey key = owned->key;
+  // Parked first: the outcome may have the module send to this worker again at once.
+  if (owned->reusable()) {
+    Park(std::move(owned));
+  } else {
+    Discard(std::move(owned));
+  }
+  gateway_.Ended(key, end, std::move(answer));
+}
+
+void WorkerLinks::Park(std::unique_ptr<Link> link) {
+  auto it = pools_.find(link->worker);
+  if (it == pools_.end() || !(it->second.endpoint == link->endpoint)) return Discard(std::move(link));
+  Link& parked = *link;
+  it->second.idle.push_back(std::move(link));
+  parked.place = std::prev(it->second.idle.end());
+  parked.timer.Set(limits_.idle * kIdlePartNumerator / kIdlePartDenominator,
+                   [this, &parked] { DropIdle(parked); });
+}
+
+void WorkerLinks::DropIdle(Link& link) {
+  auto it = pools_.find(link.worker);
+  if (it == pools_.end()) return;
+  std::unique_ptr<Link> owned = std::move(*link.place);
+  it->second.idle.erase(link.place);
+  Discard(std::move(owned));
+}
+
+void WorkerLinks::Discard(std::unique_ptr<Link> link) {
+  link->channel.Close();
+  link->timer.Clear();
+  --count_;
+  loop_.Dispose(std::move(link));
+}
+
+}  // namespace dappletiller
--- /dev/null
+++ b/src/net/worker.hpp
@@ -0,0 +1,60 @@
+// Connections to workers over HTTP: a pool for each worker, one delegation at a time on each connection.
+#ifndef DAPPLETILLER_NET_WORKER_HPP_
+#define DAPPLETILLER_NET_WORKER_HPP_
+
+#include <list>
+#include <memory>
+#include <unordered_map>
+
+#include "net/channel.hpp"
+#include "net/gateway.hpp"
+#include "net/log.hpp"
+#include "net/loop.hpp"
+
+namespace dappletiller {
+
+struct WorkerLimits {
+  Micros dial = 0;              // a connection that is not up by then never will be
+  Micros idle = 0;              // workers close connections that are idle for this long, at the latest
+  std::size_t connections = 0;  // in all
+};
+
+class WorkerLinks final : public Workers {
+ public:
+  WorkerLinks(Loop& loop, Log& log, Gateway& gateway, const WorkerLimits& limits);
+  ~WorkerLinks();
+
+  void Start(const Delegation& delegation) override;
+  void GiveUp(DelegationKey key) override;
+  void Locate(WorkerId worker, const Endpoint& endpoint) override;
+  void Release(WorkerId worker) override;
+
+  std::size_t connections() const { return count_; }
+
+ private:
+  class Link;
+  using LinkList = std::list<std::unique_ptr<Link>>;
+  struct Pool {
+    Endpoint endpoint;
+    LinkList idle;  // the most recently used last
+  };
+
+  std::unique_ptr<Link> TakeIdle(Pool& pool);
+  bool MakeRoom();
+  void Finish(Link& link, DelegationEnd end, PayloadRef answer);
+  void Park(std::unique_ptr<Link> link);
+  void DropIdle(Link& link);
+  void Discard(std::unique_ptr<Link> link);
+
+  Loop& loop_;
+  Log& log_;
+  Gateway& gateway_;
+  WorkerLimits limits_;
+  std::unordered_map<WorkerId, Pool> pools_;
+  std::unordered_map<DelegationKey, std::unique_ptr<Link>, DelegationKeyHash> busy_;
+  std::size_t count_ = 0;
+};
+
+}  // namespace dappletiller
+
+#endif  // DAPPLETILLER_NET_WORKER_HPP_
