--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -1,6 +1,7 @@
 #include "net/acceptor.hpp"
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -213,6 +214,8 @@
   waiting_ = false;
   for (int i = 0; listener_; ++i) {
     if (i == kAcceptsAtOnce) return loop_.Again(token_, EPOLLIN);
+    // Guards against an idle client being sent away to make room for nobody.
+    if (conns_.size() >= options_.connections && !Pending()) return;
     if (!MakeRoom()) {
       waiting_ = true;  // Drop goes on from here
       return;
@@ -234,6 +237,11 @@
   }
 }
 
+bool Acceptor::Pending() const {
+  pollfd listener{listener_.get(), POLLIN, 0};
+  return ::poll(&listener, 1, 0) > 0;
+}
+
 // Room for one more connection, if need be by closing the longest unused one.
 bool Acceptor::MakeRoom() {
   if (conns_.size() < options_.connections) return true;
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -41,6 +41,7 @@
 
   void OnReady(std::uint32_t events) override;
   void Accept();
+  bool Pending() const;
   bool MakeRoom();
   void Drop(Conn& conn);
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -48,7 +48,7 @@
     auto [next, failed] = std::from_chars(at, end, value);
     if (failed != std::errc() || value > (i == 4 ? 65535u : 255u)) return std::nullopt;
     if (i == 4) {
-      if (next != end || value == 0) return std::nullopt;
+      if (next != end) return std::nullopt;
       endpoint.port = static_cast<std::uint16_t>(value);
       break;
     }
--- a/src/net/types.hpp
+++ b/src/net/types.hpp
@@ -24,7 +24,7 @@
 };
 using PayloadRef = std::shared_ptr<const Payload>;
 
-// An IPv4 address in host byte order.
+// An IPv4 address in host byte order. Port 0 means, for a listener, any that is free.
 struct Endpoint {
   std::uint32_t address = 0;
   std::uint16_t port = 0;
--- /dev/null
+++ b/tests/net/rules_test.cpp
@@ -0,0 +1,591 @@
+// One test with real sockets for each rule and for each trap of the network code.
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <fstream>
+#include <string>
+
+#include "support.hpp"
+
+namespace dappletiller::testing {
+namespace {
+
+// No call and no delegation is left behind: every one sent has had its one outcome.
+void Settles(Rig& rig) {
+  rig.Until("all is over", [&] { return rig.gateway.table_size() == 0; });
+  CHECK(rig.gateway.open_calls() == 0);
+}
+
+TEST_CASE("a call is served with the worker's own body, and connections are kept on both sides") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  for (const char* id : {"a1", "a2", "a3"}) {
+    client.Say(Check(id));
+    Peer& at = rig.Request(worker, id);
+    CHECK(at.Has("GET /api?k=1 HTTP/1.1\r\n"));
+    at.text.clear();
+    at.Say(Answer(200, std::string("body of ") + id, "Cache-Result: hit\r\n"));
+    rig.Hears(client, std::string("body of ") + id);
+    CHECK(client.Has("Cache-Result: hit\r\n"));
+    client.text.clear();
+  }
+  CHECK(worker.peers.size() == 1);
+  CHECK(rig.acceptor.connections() == 1);
+  Settles(rig);
+}
+
+TEST_CASE("the worker is told the time that is left") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  const std::string& text = rig.Request(worker, "a1").text;
+  std::size_t at = text.find("Request-Timeout: ");
+  REQUIRE(at != std::string::npos);
+  CHECK(text.find("Request-Timeout: ", at + 1) == std::string::npos);
+  long micros = std::atol(text.c_str() + at + 17);
+  CHECK(micros > 0);
+  CHECK(micros <= 15'000'000);
+}
+
+TEST_CASE("turned away unseen: another worker serves, and the client never sees the refusal") {
+  for (int status : {503, 504}) {
+    Rig rig;
+    Host one, two;
+    rig.Know({&one, &two});
+    Peer client = rig.Client();
+    client.Say(Pay("a1"));
+    Host* first = nullptr;
+    rig.Until("a worker is dialled", [&] {
+      first = one.Accept() ? &one : two.Accept() ? &two : nullptr;
+      return first != nullptr;
+    });
+    rig.Request(*first, "a1").Say(Answer(status, "", "Not-Started: 1\r\n"));
+    rig.Request(first == &one ? two : one, "a1").Say(Answer(200, "paid"));
+    rig.Hears(client, "paid");
+    CHECK_FALSE(client.Has("Not-Started"));
+    Settles(rig);
+  }
+}
+
+TEST_CASE("a call given up on is refused at once, with advice and without the worker's words") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  client.Say(Pay("a1"));
+  Micros asked = rig.loop.Now();
+  rig.Request(worker, "a1").Say(Answer(503, "mine", "Not-Started: 1\r\n"));
+  rig.Hears(client, "\r\n\r\n");
+  CHECK(client.Has("HTTP/1.1 503 "));
+  CHECK_FALSE(client.Has("mine"));
+  CHECK(rig.loop.Now() < asked + 15'000 * kMs);  // long before the client's own time is up
+  Settles(rig);
+}
+
+TEST_CASE("what may have run and must not run twice is never sent again") {
+  struct {
+    const char* what;
+    void (*end)(Peer&);
+  } cases[] = {{"an error", [](Peer& p) { p.Say(Answer(500)); }},
+               {"a 503 that does not say it never ran", [](Peer& p) { p.Say(Answer(503)); }},
+               {"an end without an answer", [](Peer& p) { p.Close(); }},
+               {"a reset", [](Peer& p) { p.Abort(); }},
+               {"an answer cut short",
+                [](Peer& p) { p.Say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal"), p.Close(); }},
+               {"rubbish", [](Peer& p) { p.Say("rubbish\r\n\r\n"); }}};
+  for (const auto& c : cases) {
+    INFO(std::string(c.what));
+    Rig rig;
+    Host one, two;
+    rig.Know({&one, &two});
+    Peer client = rig.Client();
+    client.Say(Pay("a1"));
+    Host* first = nullptr;
+    rig.Until("a worker is dialled", [&] {
+      first = one.Accept() ? &one : two.Accept() ? &two : nullptr;
+      return first != nullptr;
+    });
+    c.end(rig.Request(*first, "a1"));
+    rig.Hears(client, "HTTP/1.1 502 ");
+    Settles(rig);
+    CHECK_FALSE(one.Accept());
+    CHECK_FALSE(two.Accept());
+  }
+}
+
+TEST_CASE("a worker that can't be reached never ran it: another one serves") {
+  Rig rig;
+  Host dead, alive;
+  rig.Know({&dead, &alive});
+  dead.Close();
+  for (const char* id : {"a1", "a2"}) {
+    Peer client = rig.Client();
+    client.Say(Pay(id));
+    rig.Request(alive, id).Say(Answer(200, "paid"));
+    rig.Hears(client, "paid");
+  }
+  Settles(rig);
+}
+
+// Guards against writing a payment into a connection that the worker has closed in the meantime.
+TEST_CASE("a connection that the worker closed while idle is not used again") {
+  for (bool abort : {false, true}) {
+    Rig rig;
+    Host worker;
+    rig.Know({&worker});
+    Peer client = rig.Client();
+    client.Say(Pay("a1"));
+    Peer& first = rig.Request(worker, "a1");
+    first.Say(Answer(200, "one"));
+    rig.Hears(client, "one");
+    abort ? first.Abort() : first.Close();
+    client.Say(Pay("a2"));  // the loop has had no chance to hear of the close
+    rig.Request(worker, "a2").Say(Answer(200, "two"));
+    rig.Hears(client, "two");
+    CHECK(worker.peers.size() == 2);
+    Settles(rig);
+  }
+}
+
+TEST_CASE("an idle connection is closed before the worker would close it") {
+  Rig rig(Rules(), {kBound, 50 * kMs, 64});
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  Peer& at = rig.Request(worker, "a1");
+  at.Say(Answer(200, "one"));
+  rig.Until("the proxy closes it", [&] { return at.Ended(); });
+  CHECK(rig.workers.connections() == 0);
+}
+
+TEST_CASE("a client that goes has its delegation called off by closing the connection") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  Peer& at = rig.Request(worker, "a1");
+  client.Close();
+  rig.Until("the worker sees the end", [&] { return at.Ended(); });
+  Settles(rig);
+  CHECK(rig.acceptor.connections() == 0);
+}
+
+TEST_CASE("a call has one final answer by its deadline, and a late one of the worker goes nowhere") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  client.Say("GET /api HTTP/1.1\r\nRequest-Id: a1\r\nRequest-Class: check\r\nRequest-Timeout: 1500m\r\n\r\n");
+  Peer& at = rig.Request(worker, "a1");
+  rig.Hears(client, "\r\n\r\n");
+  at.Say(Answer(200, "past it"));
+  Settles(rig);
+  rig.Until("the connection is closed towards the worker", [&] { return at.Ended(); });
+  CHECK_FALSE(client.Has("past it"));
+  CHECK(client.text.find("HTTP/1.1 ", 9) == std::string::npos);
+}
+
+TEST_CASE("a worker that drains or is gone gets nothing new, and what it has goes on") {
+  for (bool full : {false, true}) {
+    Rig rig;
+    Host leaving, staying;
+    rig.Know({&leaving});
+    Peer client = rig.Client();
+    client.Say(Check("a1"));
+    Peer& at = rig.Request(leaving, "a1");
+    if (full) {
+      rig.Know({&staying}, WorkerList::Kind::kFull);
+    } else {
+      rig.Know({&leaving}, WorkerList::Kind::kChanges, WorkerState::kDraining);
+      rig.Know({&staying}, WorkerList::Kind::kChanges);
+    }
+    Peer other = rig.Client();
+    other.Say(Check("a2"));
+    rig.Request(staying, "a2").Say(Answer(200, "two"));
+    rig.Hears(other, "two");
+    at.Say(Answer(200, "one"));
+    rig.Hears(client, "one");
+    Settles(rig);
+  }
+}
+
+TEST_CASE("a worker keeps its identity when its address changes") {
+  Rig rig;
+  Host before, after;
+  WorkerList list;
+  list.kind = WorkerList::Kind::kFull;
+  list.entries.resize(1);
+  list.entries[0].uid = "s-1";
+  list.entries[0].zone = 0;
+  for (Host* host : {&before, &after}) {
+    list.entries[0].endpoint = host->endpoint();
+    rig.gateway.Learn(list);
+    Peer client = rig.Client();
+    client.Say(Check("a1"));
+    rig.Request(*host, "a1").Say(Answer(200, "here"));
+    rig.Hears(client, "here");
+  }
+}
+
+// Guards against a cold worker looking warm: its start is told as Unix time.
+TEST_CASE("the loop's clock can be compared with Unix time and never goes back") {
+  Loop loop;
+  Micros off = loop.Now() - static_cast<Micros>(std::time(nullptr)) * 1'000'000;
+  CHECK(off > -60'000 * kMs);
+  CHECK(off < 60'000 * kMs);
+  Micros before = loop.Now();
+  CHECK(loop.Now() >= before);
+}
+
+TEST_CASE("large bodies pass whole through partial reads and writes in both directions") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  std::string body(64 * 1024, 'x');
+  body.back() = 'z';
+  for (int i = 0; i < 20; ++i) {
+    std::string id = "a" + std::to_string(i);
+    Peer client = rig.Client();
+    std::string request = Pay(id, body);
+    for (std::size_t at = 0; at < request.size(); at += 30'000) {
+      client.Say(std::string_view(request).substr(at, 30'000));
+      rig.loop.Round(0);
+    }
+    Peer& at = rig.Request(worker, id);
+    rig.Until("the worker has it all", [&] { return at.Has("z"); });
+    CHECK(at.text.substr(at.text.find("\r\n\r\n") + 4) == body);
+    at.text.clear();
+    at.Say(Answer(200, body));
+    rig.Hears(client, "z");
+    CHECK(client.text.substr(client.text.find("\r\n\r\n") + 4) == body);
+  }
+  CHECK(worker.peers.size() == 1);
+}
+
+TEST_CASE("bad input gets its status and a close, and the proxy goes on") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  struct {
+    std::string bytes;
+    const char* status;
+    bool closes;
+  } cases[] = {
+      {"rubbish\r\n\r\n", "400", true},
+      {"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "413", true},
+      {"GET / HTTP/1.1\r\nA: " + std::string(20'000, 'x'), "431", true},
+      {"GET / HTTP/1.1\r\nRequest-Id: 1\r\n\r\n", "400", false},
+      {"GET / HTTP/1.1\r\nRequest-Class: check\r\n\r\n", "400", false},
+      {"GET / HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Class: odd\r\n\r\n", "400", false},
+      {"GET / HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Class: pay\r\nRequest-Timeout: 5s\r\n\r\n", "400", false},
+      {"BREW / HTTP/1.1\r\n\r\n", "405", false}};
+  for (const auto& c : cases) {
+    INFO(c.bytes.substr(0, 60));
+    Peer client = rig.Client();
+    client.Say(c.bytes);
+    rig.Hears(client, std::string("HTTP/1.1 ") + c.status);
+    if (c.closes) rig.Until("the proxy closes", [&] { return client.Ended(); });
+    if (c.closes) CHECK(client.Has("Connection: close\r\n"));
+  }
+  Peer client = rig.Client();
+  client.Say("GET /up HTTP/1.1\r\n\r\n");
+  rig.Hears(client, "HTTP/1.1 200 ");
+  CHECK_FALSE(worker.Accept());
+}
+
+TEST_CASE("a client that asks whether to go on is told so") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  client.Say(
+      "POST /api HTTP/1.1\r\nRequest-Id: a1\r\nRequest-Class: pay\r\nExpect: 100-continue\r\nContent-Length: "
+      "2\r\n\r\n");
+  rig.Hears(client, "HTTP/1.1 100 ");
+  client.Say("hi");
+  rig.Request(worker, "a1").Say(Answer(200, "done"));
+  rig.Hears(client, "done");
+}
+
+// Guards against one client, or a crowd, taking all the descriptors.
+TEST_CASE("at the limit of connections the longest idle one makes room, and busy ones stay") {
+  Rig rig(Rules(), {kBound, kBound, 64}, 2);
+  Host worker;
+  rig.Know({&worker});
+  Peer busy = rig.Client();
+  busy.Say(Check("a1"));
+  rig.Request(worker, "a1");
+  Peer idle = rig.Client();
+  rig.Until("both are taken", [&] { return rig.acceptor.connections() == 2; });
+  Peer third = rig.Client();
+  third.Say(Check("a2"));
+  rig.Request(worker, "a2");
+  rig.Until("the idle one went", [&] { return idle.Ended(); });
+  Peer fourth = rig.Client();  // waits for one of the busy ones to go
+  fourth.Say("GET /up HTTP/1.1\r\n\r\n");
+  for (int i = 0; i < 5; ++i) rig.loop.Round(0);
+  CHECK(rig.acceptor.connections() == 2);
+  busy.Close();
+  rig.Hears(fourth, "HTTP/1.1 200 ");
+  CHECK_FALSE(third.Ended());
+}
+
+TEST_CASE("without a free connection a call is not sent, and is answered all the same") {
+  Rig rig(Rules(), {kBound, kBound, 1});
+  Host worker;
+  rig.Know({&worker});
+  Peer one = rig.Client();
+  one.Say(Check("a1"));
+  Peer& at = rig.Request(worker, "a1");
+  Peer two = rig.Client();
+  two.Say(Check("a2"));
+  rig.Hears(two, "HTTP/1.1 503 ");
+  at.Say(Answer(200, "one"));
+  rig.Hears(one, "one");
+  Settles(rig);
+}
+
+TEST_CASE("on the way out new clients are served and asked to leave, and held calls are finished") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer held = rig.Client();
+  Peer idle = rig.Client();
+  held.Say(Check("a1"));
+  rig.Request(worker, "a1");
+  rig.acceptor.Drain();
+  Peer late = rig.Client();
+  late.Say(Check("a2"));
+  rig.Request(worker, "a2").Say(Answer(200, "two"));
+  rig.Hears(late, "two");
+  CHECK(late.Has("Connection: close\r\n"));
+  rig.Until("all are taken", [&] { return late.Ended() && rig.acceptor.connections() >= 2; });
+  Peer begun = rig.Client();  // its request is in the kernel when the proxy stops accepting
+  begun.Say(Check("a3"));
+  rig.acceptor.Close();
+  rig.Until("the idle one is closed", [&] { return idle.Ended(); });
+  rig.Request(worker, "a3").Say(Answer(200, "three"));
+  rig.Hears(begun, "three");
+  rig.Request(worker, "a1").Say(Answer(200, "one"));
+  rig.Hears(held, "one");
+  CHECK(held.Has("Connection: close\r\n"));
+  held.Close(), begun.Close(), late.Close();
+  rig.Until("all went", [&] { return rig.acceptor.connections() == 0; });
+}
+
+sandstand::Settings Asking() {
+  sandstand::Settings s = Rules();
+  s.list_on_request = true;
+  s.ask_within = 1'000 * kMs;
+  return s;
+}
+
+Peer& Question(Rig& rig, const std::string& target) {
+  Peer* found = nullptr;
+  rig.Until(target.c_str(), [&] {
+    rig.registry.Accept();
+    for (Peer& peer : rig.registry.peers) {
+      if (peer.Has("GET " + target + " HTTP/1.1\r\n")) found = &peer;
+    }
+    return found != nullptr;
+  });
+  found->text.clear();
+  return *found;
+}
+
+TEST_CASE("a watch goes on by itself from the version it was told") {
+  Rig rig(Asking());
+  Host worker;
+  rig.Know({});
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  std::string entry = R"({"uid":"s-1","endpoint":"127.0.0.1:)" + std::to_string(worker.port) +
+                      R"(","az":"here","model":"plain","state":"up","boot_ms":0})";
+  Question(rig, "/discovery/hosts?after=41&wait_ms=0")
+      .Say(Answer(200, R"({"rev":43,"all":false,"targets":[)" + entry + "]}"));
+  Question(rig, "/discovery/hosts?after=43&wait_ms=500")
+      .Say(Answer(200, R"({"rev":43,"all":false,"targets":[]})"));
+  Question(rig, "/discovery/hosts?after=43&wait_ms=500");
+  CHECK(rig.registry.peers.size() == 1);
+  rig.Request(worker, "a1").Say(Answer(200, "found"));
+  rig.Hears(client, "found");
+}
+
+// Guards against a proxy that goes deaf: each way in which a call can fail is followed by another call.
+TEST_CASE("a watch that fails is asked for again") {
+  Rig rig(Asking());
+  rig.Know({});
+  Question(rig, "/discovery/hosts?after=41&wait_ms=0").Say(Answer(503));
+  Question(rig, "/discovery/hosts?after=41&wait_ms=0").Abort();
+  Question(rig, "/discovery/hosts?after=41&wait_ms=0").Say(Answer(200, "{]"));
+  Question(rig, "/discovery/hosts?after=41&wait_ms=0").Close();
+  Question(rig, "/discovery/hosts?after=41&wait_ms=0").Say("nonsense\r\n\r\n");
+  Question(rig, "/discovery/hosts?after=41&wait_ms=0");
+}
+
+TEST_CASE("a fetch asks for the whole list, and an old one undoes nothing") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  rig.discovery.Fetch();
+  Question(rig, "/discovery/hosts").Say(Answer(200, R"({"rev":40,"all":true,"targets":[]})"));
+  rig.discovery.Fetch();
+  for (int i = 0; i < 5; ++i) rig.loop.Round(0);
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  rig.Request(worker, "a1").Say(Answer(200, "still there"));
+  rig.Hears(client, "still there");
+}
+
+// Guards against an event that was fetched together with the one whose handler freed its receiver.
+TEST_CASE("no event reaches what has been forgotten, and timers go with their owners") {
+  Loop loop;
+  struct Sink final : EventSink {
+    void OnReady(std::uint32_t) override {
+      ++called;
+      if (other != nullptr) loop->Forget(other->token, other->fd.get());
+    }
+    Loop* loop = nullptr;
+    Sink* other = nullptr;
+    Fd fd;
+    Loop::Token token = 0;
+    int called = 0;
+  };
+  Sink a, b;
+  a.loop = b.loop = &loop;
+  a.other = &b, b.other = &a;
+  int ends[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+  a.fd = Fd(ends[0]), b.fd = Fd(ends[1]);
+  a.token = loop.Watch(a.fd.get(), &a), b.token = loop.Watch(b.fd.get(), &b);
+  loop.Again(a.token, 1), loop.Again(b.token, 1);
+  int fired = 0;
+  {
+    Timer timer(loop);
+    timer.Set(0, [&] { ++fired; });
+  }
+  for (int i = 0; i < 3; ++i) loop.Round(0);
+  CHECK((a.called == 0 || b.called == 0));
+  CHECK(a.called + b.called > 0);
+  CHECK(fired == 0);
+}
+
+TEST_CASE("a log that repeats itself is cut short and says by how much") {
+  std::FILE* file = std::tmpfile();
+  Log log(file, "x");
+  for (int i = 0; i < 5'000; ++i) log.Line("line %d", i);
+  long size = std::ftell(file);
+  std::fclose(file);
+  CHECK(size > 100);
+  CHECK(size < 20'000);
+}
+
+// ---- The program itself ----
+
+class Program {
+ public:
+  explicit Program(const std::string& config) {
+    std::string path = folder_ + "/config.json";
+    std::ofstream(path) << config;
+    pid_ = ::fork();
+    REQUIRE(pid_ >= 0);
+    if (pid_ == 0) {
+      int err = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT, 0600);
+      ::dup2(err, 2);
+      ::setenv("BALANCER_CONFIG", path.c_str(), 1);
+      ::execl(DAPPLETILLER_PROGRAM, DAPPLETILLER_PROGRAM, nullptr);
+      ::_exit(127);
+    }
+  }
+  ~Program() {
+    if (pid_ > 0) ::kill(pid_, SIGKILL), ::waitpid(pid_, nullptr, 0);
+    std::remove((folder_ + "/config.json").c_str());
+    std::remove((folder_ + "/log").c_str());
+    ::rmdir(folder_.c_str());
+  }
+  // Its exit code, or -1 if it does not end by itself.
+  int Wait() {
+    int status = 0;
+    for (int i = 0; i < 2'000; ++i) {
+      if (::waitpid(pid_, &status, WNOHANG) == pid_)
+        return pid_ = 0, WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+      ::poll(nullptr, 0, 10);
+    }
+    return -1;
+  }
+  std::string Said() {
+    std::ifstream in(folder_ + "/log");
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  void Signal(int number) { ::kill(pid_, number); }
+
+ private:
+  static std::string MakeFolder() {
+    char name[] = "/tmp/dappletiller-test-XXXXXX";
+    REQUIRE(::mkdtemp(name) != nullptr);
+    return name;
+  }
+  std::string folder_ = MakeFolder();
+  pid_t pid_ = 0;
+};
+
+std::string ProgramConfig(std::uint16_t port, std::uint16_t worker) {
+  std::string local = "\"127.0.0.1:";
+  return "{\"name\":\"n0\",\"listen\":" + local + std::to_string(port) + "\",\"discovery\":" + local +
+         "1\",\"seed\":\"7\",\"limits\":{\"sockets\":256},\"known\":{\"rev\":1,\"all\":true,\"targets\":[{"
+         "\"uid\":\"s\","
+         "\"endpoint\":" +
+         local + std::to_string(worker) + "\",\"az\":\"a\",\"state\":\"up\"}]}," +
+         R"("settings":{"balancers":1,"zones":["a"],"zone":0,"kinds":["m"],"classes":[{"name":"check",
+         "aim":4000000,"giveUp":20000000,"effect":"free"}],"registryMode":"ask","tick":5000,
+         "invariants":{"askEvery":10000000,"cold":22000000,"fall":2000000,"startCapacity":0.13,"tipMultiple":2.5,
+         "graceToAnswer":20000},"limits":{"maxAttempts":5,"mayCancel":true,"dialTimeout":250000,
+         "connIdle":15000000}}})";
+}
+
+TEST_CASE("the program serves, and after SIGTERM finishes what it holds and ends with 0") {
+  Host worker;
+  Program program(ProgramConfig(0, worker.port));
+  Rig outside;  // for its bounded waits only
+  outside.Until("it is up", [&] { return program.Said().find("workers known\n") != std::string::npos; });
+  std::string said = program.Said();
+  auto port = static_cast<std::uint16_t>(std::atoi(said.c_str() + said.find("port ") + 5));
+  Peer client = Peer::Dial(port);
+  client.Say("GET /up HTTP/1.1\r\n\r\n");
+  outside.Hears(client, "HTTP/1.1 200 ");
+  client.Say(Check("a1"));
+  Peer& at = outside.Request(worker, "a1");
+  program.Signal(SIGTERM);
+  outside.Until("it is leaving", [&] { return program.Said().find("leaving") != std::string::npos; });
+  at.Say(Answer(200, "finished"));
+  outside.Hears(client, "finished");
+  CHECK(client.Has("Connection: close\r\n"));
+  client.Close();
+  CHECK(program.Wait() == 0);
+}
+
+TEST_CASE("the program says in one line why it can't start") {
+  Host taken;
+  for (const std::string& config :
+       {std::string("{"), std::string("{\"name\":\"n0\"}"), ProgramConfig(taken.port, 1)}) {
+    Program program(config);
+    CHECK(program.Wait() == 1);
+    std::string said = program.Said();
+    CHECK(said.find("cannot start: ") != std::string::npos);
+    CHECK(std::count(said.begin(), said.end(), '\n') == 1);
+  }
+}
+
+}  // namespace
+}  // namespace dappletiller::testing
--- /dev/null
+++ b/tests/net/support.hpp
@@ -0,0 +1,200 @@
+// Real sockets on loopback for the tests of the network code: a worker or discovery that a test plays by
+// hand, a client, and the proxy's parts wired up as main does. Every wait is bounded and on a condition.
+#ifndef DAPPLETILLER_TESTS_NET_SUPPORT_HPP_
+#define DAPPLETILLER_TESTS_NET_SUPPORT_HPP_
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/acceptor.hpp"
+#include "net/discovery.hpp"
+#include "net/gateway.hpp"
+#include "net/worker.hpp"
+
+namespace dappletiller::testing {
+
+constexpr Micros kMs = 1000;
+constexpr Micros kBound = 20'000 * kMs;  // far more than any wait should take, on the busiest machine
+constexpr std::uint32_t kLoopback = 0x7f000001;
+
+// One end of a connection, played by the test.
+class Peer {
+ public:
+  explicit Peer(Fd fd) : fd_(std::move(fd)) {}
+  static Peer Dial(std::uint16_t port) {
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(kLoopback);
+    to.sin_port = htons(port);
+    REQUIRE(::connect(fd.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+    return Peer(std::move(fd));
+  }
+  void Say(std::string_view text) { ::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL); }
+  // Takes what has come; `ended` turns true once the other side has closed or reset.
+  const std::string& Heard() {
+    char bytes[4096];
+    for (;;) {
+      ssize_t n = ::recv(fd_.get(), bytes, sizeof bytes, MSG_DONTWAIT);
+      if (n > 0) {
+        text.append(bytes, static_cast<std::size_t>(n));
+        continue;
+      }
+      ended = ended || n == 0 || errno == ECONNRESET;
+      return text;
+    }
+  }
+  bool Has(std::string_view part) { return Heard().find(part) != std::string::npos; }
+  bool Ended() { return Heard(), ended; }
+  void Close() { fd_.Reset(); }
+  void Abort() {  // ends in a reset
+    linger hard{1, 0};
+    ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    fd_.Reset();
+  }
+  std::string text;
+  bool ended = false;
+
+ private:
+  Fd fd_;
+};
+
+// A listening socket on a port of the kernel's choice.
+class Host {
+ public:
+  Host() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(kLoopback);
+    socklen_t size = sizeof at;
+    REQUIRE(::bind(fd_.get(), reinterpret_cast<sockaddr*>(&at), size) == 0);
+    REQUIRE(::listen(fd_.get(), 64) == 0);
+    REQUIRE(::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&at), &size) == 0);
+    port = ntohs(at.sin_port);
+  }
+  bool Accept() {  // true once another connection has come; it is the last of `peers`
+    Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    if (!fd) return false;
+    peers.emplace_back(std::move(fd));
+    return true;
+  }
+  Endpoint endpoint() const { return {kLoopback, port}; }
+  void Close() { fd_.Reset(); }
+  std::uint16_t port = 0;
+  std::vector<Peer> peers;
+
+ private:
+  Fd fd_;
+};
+
+inline sandstand::Settings Rules() {
+  sandstand::Settings s;
+  s.seed = 7;
+  s.tick = 5 * kMs;
+  sandstand::ClassSettings safe;
+  safe.aim = 4'000 * kMs;
+  safe.deadline = 30'000 * kMs;
+  safe.effect = sandstand::Effect::kSafe;
+  sandstand::ClassSettings unsafe = safe;
+  unsafe.effect = sandstand::Effect::kUnsafe;
+  s.classes = {safe, unsafe};
+  s.max_attempts = 3;
+  s.may_cancel = true;
+  s.advise_retry = true;
+  s.max_retry_after = 2'000 * kMs;
+  s.cold_time = 10'000 * kMs;
+  s.fall_time = 1'000 * kMs;
+  return s;
+}
+
+// The proxy as main wires it, with discovery at `registry` and as many workers as the test names.
+class Rig {
+ public:
+  explicit Rig(const sandstand::Settings& rules = Rules(), WorkerLimits limits = {kBound, kBound, 64},
+               std::size_t clients = 64)
+      : gateway(loop, log, rules),
+        workers(loop, log, gateway, limits),
+        acceptor(loop, log, gateway, {{kLoopback, 0}, {"check", "pay"}, {kBound, kBound}, clients}),
+        discovery(loop, log, gateway,
+                  {registry.endpoint(), "discovery", {{"here"}, {"plain"}}, 41, rules.ask_within}) {
+    gateway.Connect(workers, discovery);
+    acceptor.Listen();
+  }
+
+  void Know(const std::vector<Host*>& hosts, WorkerList::Kind kind = WorkerList::Kind::kCached,
+            WorkerState state = WorkerState::kReady) {
+    WorkerList list;
+    list.kind = kind;
+    for (Host* host : hosts) {
+      WorkerEntry entry;
+      entry.uid = "w" + std::to_string(host->port);
+      entry.endpoint = host->endpoint();
+      entry.zone = 0;
+      entry.state = state;
+      list.entries.push_back(entry);
+    }
+    gateway.Learn(list);
+  }
+
+  // Runs the loop until something holds, and fails the test if it never does.
+  void Until(const char* what, const std::function<bool()>& holds) {
+    Micros end = loop.Now() + kBound;
+    while (!holds()) {
+      INFO("waiting until " << std::string(what));
+      REQUIRE(loop.Now() < end);
+      loop.Round(5 * kMs);
+    }
+  }
+
+  Peer Client() { return Peer::Dial(acceptor.port()); }
+  // Waits for a request at a worker, on whichever of its connections, and returns that connection.
+  Peer& Request(Host& host, std::string_view id) {
+    Peer* found = nullptr;
+    Until("the worker has the request", [&] {
+      host.Accept();
+      for (Peer& peer : host.peers) {
+        if (peer.Has("Request-Id: " + std::string(id) + "\r\n") && peer.Has("\r\n\r\n")) found = &peer;
+      }
+      return found != nullptr;
+    });
+    return *found;
+  }
+  void Hears(Peer& peer, std::string_view part) {
+    Until(std::string(part).c_str(), [&] { return peer.Has(part); });
+  }
+
+  Host registry;
+  Loop loop;
+  Log log{stderr, "test"};
+  Gateway gateway;
+  WorkerLinks workers;
+  Acceptor acceptor;
+  Discovery discovery;
+};
+
+inline std::string Check(const std::string& id, const std::string& more = "") {
+  return "GET /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+         "\r\nRequest-Class: check\r\nRequest-Timeout: 15000m\r\n" + more + "\r\n";
+}
+inline std::string Pay(const std::string& id, const std::string& body = "pay") {
+  return "POST /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+         "\r\nRequest-Class: pay\r\nRequest-Timeout: 15000000u\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+inline std::string Answer(int status, const std::string& body = "", const std::string& more = "") {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n" + more + "\r\n" + body;
+}
+
+}  // namespace dappletiller::testing
+
+#endif  // DAPPLETILLER_TESTS_NET_SUPPORT_HPP_
