Share one budget of descriptors between clients and workers, some kept for clients

Seen: fixed halves (src/main.cpp, kClientPart and kWorkerPart) left requests waiting in the kernel once one half was full though the other had room; such a request counts as taken and would go without an answer.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "net/acceptor.hpp"
+#include "net/budget.hpp"
 #include "net/config.hpp"
 #include "net/discovery.hpp"
 #include "net/gateway.hpp"
@@ -25,9 +26,8 @@
 constexpr Micros kStopAccepting = 500'000;  // after SIGTERM: by then the front sends nobody here any more
 constexpr Micros kLookEvery = 10'000;       // whether all is answered
 
-// Of all descriptors; the rest is for the listener, discovery and the program itself.
-constexpr double kClientPart = 0.5;
-constexpr double kWorkerPart = 0.45;
+constexpr std::size_t kOwnDescriptors = 16;  // listener, discovery, epoll, standard streams and some more
+constexpr std::size_t kKeptPart = 8;         // one in so many connections is kept for clients
 
 class Proxy final : private EventSink {
  public:
@@ -35,9 +35,9 @@
       : log_(log),
         config_(std::move(config)),
         gateway_(loop_, log_, config_.settings),
-        workers_(loop_, log_, gateway_,
-                 {config_.dial_timeout, config_.idle_timeout, Part(config_.sockets, kWorkerPart)}),
-        acceptor_(loop_, log_, gateway_, Accepting(config_)),
+        budget_(config_.sockets - kOwnDescriptors, config_.sockets / kKeptPart),
+        workers_(loop_, log_, gateway_, budget_, {config_.dial_timeout, config_.idle_timeout}),
+        acceptor_(loop_, log_, gateway_, budget_, Accepting(config_)),
         discovery_(loop_, log_, gateway_,
                    {config_.discovery, config_.discovery_text, config_.names, config_.known.version,
                     config_.settings.ask_within}),
@@ -56,16 +56,11 @@
   }
 
  private:
-  static std::size_t Part(std::size_t all, double part) {
-    return static_cast<std::size_t>(static_cast<double>(all) * part);
-  }
-
   static AcceptorOptions Accepting(const Config& config) {
     AcceptorOptions options;
     options.listen = config.listen;
     options.classes = config.classes;
     for (const auto& c : config.settings.classes) options.patience.push_back(c.deadline);
-    options.connections = Part(config.sockets, kClientPart);
     return options;
   }
 
@@ -103,6 +98,7 @@
   Config config_;
   Loop loop_;
   Gateway gateway_;
+  Budget budget_;
   WorkerLinks workers_;
   Acceptor acceptor_;
   Discovery discovery_;
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -175,14 +175,20 @@
   std::array<char, 512> waste_;
 };
 
-Acceptor::Acceptor(Loop& loop, Log& log, Gateway& gateway, AcceptorOptions options)
-    : loop_(loop), log_(log), gateway_(gateway), options_(std::move(options)), pause_(loop) {
+Acceptor::Acceptor(Loop& loop, Log& log, Gateway& gateway, Budget& budget, AcceptorOptions options)
+    : loop_(loop), log_(log), gateway_(gateway), budget_(budget), options_(std::move(options)), pause_(loop) {
+  budget_.SetSpare(Budget::Side::kClients, [this] { return DropOneIdle(); });
+  budget_.SetFreed([this] {
+    if (waiting_ && listener_) loop_.Again(token_, EPOLLIN);
+  });
   for (std::size_t i = 0; i < options_.classes.size(); ++i) {
     class_of_[options_.classes[i]] = static_cast<int>(i);
   }
 }
 
 Acceptor::~Acceptor() {
+  budget_.SetSpare(Budget::Side::kClients, nullptr);
+  budget_.SetFreed(nullptr);
   if (listener_) loop_.Forget(token_, listener_.get());
 }
 
@@ -215,8 +221,9 @@
   for (int i = 0; listener_; ++i) {
     if (i == kAcceptsAtOnce) return loop_.Again(token_, EPOLLIN);
     // Guards against an idle client being sent away to make room for nobody.
-    if (conns_.size() >= options_.connections && !Pending()) return;
-    if (!MakeRoom()) {
+    if (!budget_.Fits(Budget::Side::kClients) && !Pending()) return;
+    if (!budget_.MakeRoom(Budget::Side::kClients)) {
+      log_.Line("acceptor: all %zu connections in use, new ones wait", budget_.limit());
       waiting_ = true;  // Drop goes on from here
       return;
     }
@@ -231,6 +238,7 @@
     }
     auto conn = std::make_unique<Conn>(*this);
     if (!conn->channel.Adopt(std::move(fd))) continue;
+    budget_.Take();
     conns_.push_back(std::move(conn));
     conns_.back()->place = std::prev(conns_.end());
     conns_.back()->Begin();
@@ -242,17 +250,14 @@
   return ::poll(&listener, 1, 0) > 0;
 }
 
-// Room for one more connection, if need be by closing the longest unused one.
-bool Acceptor::MakeRoom() {
-  if (conns_.size() < options_.connections) return true;
+// Closes the longest unused connection.
+bool Acceptor::DropOneIdle() {
   for (auto& conn : conns_) {
     if (!conn->idle()) continue;
-    Conn& unused = *conn;
-    unused.Leave();
-    if (conns_.size() < options_.connections) return true;
-    break;
+    std::size_t before = conns_.size();
+    conn->Leave();
+    return conns_.size() < before;
   }
-  log_.Line("acceptor: all %zu connections in use, new ones wait", options_.connections);
   return false;
 }
 
@@ -260,8 +265,8 @@
   std::unique_ptr<Conn> owned = std::move(*conn.place);
   conns_.erase(conn.place);
   owned->End();
+  budget_.Give();
   loop_.Dispose(std::move(owned));
-  if (waiting_ && listener_) loop_.Again(token_, EPOLLIN);
 }
 
 void Acceptor::Close() {
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "net/budget.hpp"
 #include "net/channel.hpp"
 #include "net/gateway.hpp"
 #include "net/log.hpp"
@@ -19,12 +20,11 @@
   Endpoint listen;
   std::vector<std::string> classes;  // by their places in the settings
   std::vector<Micros> patience;      // of a class, for clients that state none
-  std::size_t connections = 0;
 };
 
 class Acceptor final : private EventSink {
  public:
-  Acceptor(Loop& loop, Log& log, Gateway& gateway, AcceptorOptions options);
+  Acceptor(Loop& loop, Log& log, Gateway& gateway, Budget& budget, AcceptorOptions options);
   ~Acceptor();
 
   void Listen();  // throws std::system_error
@@ -42,12 +42,13 @@
   void OnReady(std::uint32_t events) override;
   void Accept();
   bool Pending() const;
-  bool MakeRoom();
+  bool DropOneIdle();
   void Drop(Conn& conn);
 
   Loop& loop_;
   Log& log_;
   Gateway& gateway_;
+  Budget& budget_;
   AcceptorOptions options_;
   std::unordered_map<std::string, int> class_of_;
   Fd listener_;
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -88,10 +88,12 @@
   bool reusable_ = false;
 };
 
-WorkerLinks::WorkerLinks(Loop& loop, Log& log, Gateway& gateway, const WorkerLimits& limits)
-    : loop_(loop), log_(log), gateway_(gateway), limits_(limits) {}
+WorkerLinks::WorkerLinks(Loop& loop, Log& log, Gateway& gateway, Budget& budget, const WorkerLimits& limits)
+    : loop_(loop), log_(log), gateway_(gateway), budget_(budget), limits_(limits) {
+  budget_.SetSpare(Budget::Side::kWorkers, [this] { return DropOneIdle(); });
+}
 
-WorkerLinks::~WorkerLinks() = default;
+WorkerLinks::~WorkerLinks() { budget_.SetSpare(Budget::Side::kWorkers, nullptr); }
 
 void WorkerLinks::Locate(WorkerId worker, const Endpoint& endpoint) {
   Pool& pool = pools_[worker];
@@ -110,8 +112,8 @@
   if (it == pools_.end()) return gateway_.Ended(delegation.key, DelegationEnd::kNotSent, nullptr);
   std::unique_ptr<Link> link = TakeIdle(it->second);
   if (link == nullptr) {
-    if (!MakeRoom()) {
-      log_.Line("worker: all %zu connections in use, a call is not sent", limits_.connections);
+    if (!budget_.MakeRoom(Budget::Side::kWorkers)) {
+      log_.Line("worker: all %zu connections in use, a call is not sent", budget_.limit());
       return gateway_.Ended(delegation.key, DelegationEnd::kNotSent, nullptr);
     }
     link = std::make_unique<Link>(*this, delegation.worker, it->second.endpoint);
@@ -119,6 +121,7 @@
       return gateway_.Ended(delegation.key, DelegationEnd::kUnreachable, nullptr);
     }
     ++count_;
+    budget_.Take();
     Link* dialled = link.get();
     link->timer.Set(limits_.dial, [this, dialled] {
       dialled->channel.Close();
@@ -143,9 +146,7 @@
   return nullptr;
 }
 
-// Room for one more connection, if need be by closing an unused one.
-bool WorkerLinks::MakeRoom() {
-  if (count_ < limits_.connections) return true;
+bool WorkerLinks::DropOneIdle() {
   for (auto& [id, pool] : pools_) {
     if (pool.idle.empty()) continue;
     DropIdle(*pool.idle.front());
@@ -201,6 +202,7 @@
   link->channel.Close();
   link->timer.Clear();
   --count_;
+  budget_.Give();
   loop_.Dispose(std::move(link));
 }
 
--- a/src/net/worker.hpp
+++ b/src/net/worker.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "net/budget.hpp"
 #include "net/channel.hpp"
 #include "net/gateway.hpp"
 #include "net/log.hpp"
@@ -14,14 +15,13 @@
 namespace dappletiller {
 
 struct WorkerLimits {
-  Micros dial = 0;              // a connection that is not up by then never will be
-  Micros idle = 0;              // workers close connections that are idle for this long, at the latest
-  std::size_t connections = 0;  // in all
+  Micros dial = 0;  // a connection that is not up by then never will be
+  Micros idle = 0;  // workers close connections that are idle for this long, at the latest
 };
 
 class WorkerLinks final : public Workers {
  public:
-  WorkerLinks(Loop& loop, Log& log, Gateway& gateway, const WorkerLimits& limits);
+  WorkerLinks(Loop& loop, Log& log, Gateway& gateway, Budget& budget, const WorkerLimits& limits);
   ~WorkerLinks();
 
   void Start(const Delegation& delegation) override;
@@ -40,7 +40,7 @@
   };
 
   std::unique_ptr<Link> TakeIdle(Pool& pool);
-  bool MakeRoom();
+  bool DropOneIdle();
   void Finish(Link& link, DelegationEnd end, PayloadRef answer);
   void Park(std::unique_ptr<Link> link);
   void DropIdle(Link& link);
@@ -49,6 +49,7 @@
   Loop& loop_;
   Log& log_;
   Gateway& gateway_;
+  Budget& budget_;
   WorkerLimits limits_;
   std::unordered_map<WorkerId, Pool> pools_;
   std::unordered_map<DelegationKey, std::unique_ptr<Link>, DelegationKeyHash> busy_;
