--- a/src/main.cpp
+++ b/src/main.cpp
@@ -47,8 +47,8 @@
 
   void Run() {
     CatchSignals();
-    gateway_.Learn(config_.known);
     acceptor_.Listen();
+    gateway_.Learn(config_.known);
     log_.Line("started as %s on port %u with %zu workers known", config_.name.c_str(), acceptor_.port(),
               config_.known.entries.size());
     loop_.Run();
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -55,7 +55,10 @@
     bool fresh = !parser_.begun();
     parser_.Got(n);
     if (state_ != State::kReading) return;
-    if (fresh) Begin();
+    if (fresh) {
+      began_ = acceptor_.loop_.Now();
+      Begin();
+    }
     Look();
   }
 
@@ -70,6 +73,7 @@
     }
     state_ = State::kReading;
     if (acceptor_.closed_ && !parser_.begun()) return Leave();
+    began_ = acceptor_.loop_.Now();
     Begin();
     Look();
     channel.Resume();
@@ -134,7 +138,8 @@
       if (!span) return Say(400, "Request-Timeout is malformed", 0);
       patience = *span;
     }
-    arrival.deadline = acceptor_.loop_.Now() + patience;
+    // The client's time runs from its sending, so a request that came slowly has less of it left.
+    arrival.deadline = began_ + patience;
     if (auto hint = request->Find("Work-Hint")) {
       Micros work = 0;
       auto [end, failed] = std::from_chars(hint->data(), hint->data() + hint->size(), work);
@@ -171,6 +176,7 @@
   Timer timer_;
   State state_ = State::kReading;
   CallId call_ = 0;
+  Micros began_ = 0;  // when the first bytes of the request were here
   bool keep_ = true;
   std::array<char, 512> waste_;
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -154,13 +154,20 @@
   std::set<std::string> named;
   for (const WorkerEntry& entry : list.entries) {
     auto [it, fresh] = workers_by_uid_.try_emplace(entry.uid);
-    if (fresh) it->second.id = ++worker_ids_;
-    it->second.state = entry.state;
+    Known& known = it->second;
+    if (fresh) known.id = ++worker_ids_;
+    if (entry.state != WorkerState::kGone && !(known.endpoint == entry.endpoint)) {
+      std::uint32_t a = entry.endpoint.address;
+      log_.Line("worker %u is %s at %u.%u.%u.%u:%u", known.id, entry.uid.c_str(), a >> 24, a >> 16 & 255,
+                a >> 8 & 255, a & 255, entry.endpoint.port);
+      known.endpoint = entry.endpoint;
+    }
+    known.state = entry.state;
     named.insert(entry.uid);
-    if (entry.state != WorkerState::kGone) workers_->Locate(it->second.id, entry.endpoint);
-    if (entry.state != WorkerState::kReady) workers_->Release(it->second.id);
+    if (entry.state != WorkerState::kGone) workers_->Locate(known.id, entry.endpoint);
+    if (entry.state != WorkerState::kReady) workers_->Release(known.id);
     sandstand::ServerEntry server;
-    server.id = it->second.id;
+    server.id = known.id;
     server.zone = entry.zone;
     server.kind = entry.kind;
     server.cell = entry.cell;
@@ -172,10 +179,10 @@
     event.entries.push_back(server);
   }
   if (list.kind == WorkerList::Kind::kFull || list.kind == WorkerList::Kind::kCached) {
-    for (auto& [uid, known] : workers_by_uid_) {
-      if (known.state == WorkerState::kGone || named.count(uid) != 0) continue;
-      known.state = WorkerState::kGone;
-      workers_->Release(known.id);
+    for (auto& [uid, absent] : workers_by_uid_) {
+      if (absent.state == WorkerState::kGone || named.count(uid) != 0) continue;
+      absent.state = WorkerState::kGone;
+      workers_->Release(absent.id);
     }
   }
   Deliver(std::move(event));
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -50,6 +50,7 @@
   };
   struct Known {
     WorkerId id = 0;
+    Endpoint endpoint;
     WorkerState state = WorkerState::kGone;
   };
 
