--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -21,6 +21,16 @@
   CHECK(rig.gateway.open_calls() == 0);
 }
 
+// Which of two workers the proxy turns to first.
+Host* Dialled(Rig& rig, Host& one, Host& two) {
+  Host* first = nullptr;
+  rig.Until("a worker is dialled", [&] {
+    first = one.Accept() ? &one : two.Accept() ? &two : nullptr;
+    return first != nullptr;
+  });
+  return first;
+}
+
 TEST_CASE("a call is served with the worker's own body, and connections are kept on both sides") {
   Rig rig;
   Host worker;
@@ -63,11 +73,7 @@
     rig.Know({&one, &two});
     Peer client = rig.Client();
     client.Say(Pay("a1"));
-    Host* first = nullptr;
-    rig.Until("a worker is dialled", [&] {
-      first = one.Accept() ? &one : two.Accept() ? &two : nullptr;
-      return first != nullptr;
-    });
+    Host* first = Dialled(rig, one, two);
     rig.Request(*first, "a1").Say(Answer(status, "", "Not-Started: 1\r\n"));
     Peer& second = rig.Request(first == &one ? two : one, "a1");
     // The module is owed one outcome of each delegation: another word about the first changes nothing.
@@ -112,11 +118,7 @@
     rig.Know({&one, &two});
     Peer client = rig.Client();
     client.Say(Pay("a1"));
-    Host* first = nullptr;
-    rig.Until("a worker is dialled", [&] {
-      first = one.Accept() ? &one : two.Accept() ? &two : nullptr;
-      return first != nullptr;
-    });
+    Host* first = Dialled(rig, one, two);
     c.end(rig.Request(*first, "a1"));
     rig.Hears(client, "HTTP/1.1 502 ");
     Settles(rig);
