Reload the configuration on SIGHUP and move discovery to its new address

Cause: main.cpp handles SIGTERM and SIGINT alone, so SIGHUP had its default effect. Discovery also kept its address and its version for good.

Now SIGHUP reads the file again. Discovery drops both connections, asks the new address for the whole list (an old version may mean something else there) and watches on from it. The limit on descriptors and the times for worker connections change live. A bad file is one log line. Settings of the module need a restart, and the line says so.

Checked: two new tests, which fail without the change (the program ends; the old connection stays).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -29,6 +29,15 @@
 constexpr std::size_t kOwnDescriptors = 16;  // listener, discovery, epoll, standard streams and some more
 constexpr std::size_t kKeptPart = 8;         // one in so many connections is kept for clients
 
+Config Load() {
+  const char* path = std::getenv("BALANCER_CONFIG");
+  if (path == nullptr) throw ConfigError("BALANCER_CONFIG is not set");
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) throw ConfigError(std::string(path) + " cannot be read");
+  return ParseConfig(text.str());
+}
+
 class Proxy final : private EventSink {
  public:
   Proxy(Log& log, Config config)
@@ -36,7 +45,7 @@
         config_(std::move(config)),
         gateway_(loop_, log_, config_.settings),
         budget_(config_.sockets - kOwnDescriptors, config_.sockets / kKeptPart),
-        workers_(loop_, log_, gateway_, budget_, {config_.dial_timeout, config_.idle_timeout}),
+        workers_(loop_, log_, gateway_, budget_, Reaching(config_)),
         acceptor_(loop_, log_, gateway_, budget_, Accepting(config_)),
         discovery_(loop_, log_, gateway_,
                    {config_.discovery, config_.discovery_text, config_.names, config_.known.version,
@@ -64,12 +73,15 @@
     return options;
   }
 
+  static WorkerLimits Reaching(const Config& config) { return {config.dial_timeout, config.idle_timeout}; }
+
   void CatchSignals() {
     std::signal(SIGPIPE, SIG_IGN);
     sigset_t set;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     sigprocmask(SIG_BLOCK, &set, nullptr);
     signals_ = Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     loop_.Watch(signals_.get(), this);
@@ -77,9 +89,13 @@
 
   void OnReady(std::uint32_t) override {
     signalfd_siginfo info;
-    bool told = false;
-    while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) told = true;
-    if (!told || stopping_) return;
+    bool leave = false;
+    bool reload = false;
+    while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
+      (info.ssi_signo == SIGHUP ? reload : leave) = true;
+    }
+    if (reload) Reload();
+    if (!leave || stopping_) return;
     stopping_ = true;
     log_.Line("leaving: %zu calls open, %zu client connections", gateway_.open_calls(),
               acceptor_.connections());
@@ -87,6 +103,27 @@
     drain_timer_.Set(kStopAccepting, [this] { Leave(); });
   }
 
+  // The configuration anew, with all calls and connections kept. What the module was made with, and the
+  // address that clients know, can change only with a restart.
+  void Reload() {
+    Config fresh;
+    try {
+      fresh = Load();
+    } catch (const std::exception& e) {  // guards against a bad file ending a proxy that serves
+      log_.Line("reload: the old configuration stays: %s", e.what());
+      return;
+    }
+    bool later = fresh.settings_text != config_.settings_text || !(fresh.listen == config_.listen);
+    bool moved = !(fresh.discovery == config_.discovery);
+    budget_.Resize(fresh.sockets - kOwnDescriptors, fresh.sockets / kKeptPart);
+    workers_.SetLimits(Reaching(fresh));
+    if (moved) discovery_.Move(fresh.discovery, fresh.discovery_text);
+    log_.Line("reload: done, discovery %s %s%s", moved ? "moves to" : "stays at",
+              fresh.discovery_text.c_str(), later ? "; the rest of what changed needs a restart" : "");
+    // The module goes on with the settings and the listener that it has.
+    config_.discovery = fresh.discovery;
+  }
+
   // Ends once all that was taken is answered and written.
   void Leave() {
     acceptor_.Close();
@@ -107,15 +144,6 @@
   bool stopping_ = false;
 };
 
-Config Load() {
-  const char* path = std::getenv("BALANCER_CONFIG");
-  if (path == nullptr) throw ConfigError("BALANCER_CONFIG is not set");
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw ConfigError(std::string(path) + " cannot be read");
-  return ParseConfig(text.str());
-}
-
 }  // namespace
 }  // namespace dappletiller
 
--- a/src/net/budget.hpp
+++ b/src/net/budget.hpp
@@ -33,6 +33,12 @@
     --used_;
     if (freed_) freed_();
   }
+  // A smaller limit binds as connections end; none in use is cut off for it.
+  void Resize(std::size_t limit, std::size_t kept) {
+    limit_ = limit;
+    kept_ = kept;
+    if (freed_) freed_();
+  }
   std::size_t limit() const { return limit_; }
   std::size_t used() const { return used_; }
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -167,6 +167,7 @@
   auto [end, failed] = std::from_chars(seed.data(), seed.data() + seed.size(), number, 16);
   if (failed != std::errc() || end != seed.data() + seed.size()) throw ConfigError("seed is not a number");
   config.settings = sandstand::wire::ParseSettings(lines, number);
+  config.settings_text = std::move(lines);
   for (const Json::Value& c : Member(settings, "classes")) config.classes.push_back(Text(c, "name"));
   config.names.zones = Strings(settings, "zones");
   config.names.kinds = Strings(settings, "kinds");
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -33,6 +33,7 @@
   std::size_t sockets = 1024;
   WorkerList known;
   sandstand::Settings settings;
+  std::string settings_text;  // the same as path=value lines, to tell whether they have changed
   std::vector<std::string> classes;
   Names names;
   Micros dial_timeout = 0;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -83,11 +83,27 @@
 void Discovery::Watch() { Ask(watch_, true, 0); }
 void Discovery::Fetch() { Ask(fetch_, false, 0); }
 
+// The module still takes itself for subscribed, so the watch goes on by itself; should the new address not
+// answer, the module hears of that and asks again, as after any failure.
+void Discovery::Move(const Endpoint& where, std::string host) {
+  options_.where = where;
+  options_.host = std::move(host);
+  whole_ = true;
+  // Guards against an answer of the old address that is still on its way.
+  for (auto* asker : {&watch_, &fetch_}) {
+    if (*asker == nullptr) continue;
+    (*asker)->channel.Close();
+    (*asker)->timer.Clear();
+    loop_.Dispose(std::move(*asker));
+  }
+  Watch();
+}
+
 void Discovery::Ask(std::unique_ptr<Asker>& asker, bool watch, Micros wait) {
   if (asker == nullptr) asker = std::make_unique<Asker>(*this, watch);
   if (asker->asking) return;
   std::string target = "/discovery/hosts";
-  if (watch) {
+  if (watch && !whole_) {
     target += "?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait / 1000);
   }
   asker->Ask(target, wait + kAnswerTime);
@@ -98,8 +114,9 @@
   if (answer.status() == 200) list = ParseList(answer.body(), options_.names);
   if (!list) return Failed(asker, answer.status() == 200 ? "malformed list" : "turned down");
   // A late answer to a fetch must not undo what the watch has told since.
-  bool old = !asker.watch && list->version < version_;
+  bool old = !asker.watch && !whole_ && list->version < version_;
   if (!old) version_ = list->version;
+  if (list->kind == WorkerList::Kind::kFull) whole_ = false;
   // The next call of the watch leaves first: it has to come within 200 ms, whatever the list sets off. Its
   // wait is half of what may pass without asking, so that a silent discovery is noticed in time.
   if (asker.watch) Ask(watch_, true, std::min(kLongestWait, options_.ask_within / 2));
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -28,6 +28,8 @@
 
   void Watch() override;
   void Fetch() override;
+  // Goes on at another address, beginning with the whole list: a version there may mean something else.
+  void Move(const Endpoint& where, std::string host);
 
  private:
   class Asker;
@@ -40,6 +42,7 @@
   Gateway& gateway_;
   DiscoveryOptions options_;
   std::uint64_t version_;
+  bool whole_ = false;  // the version held is not this discovery's: only the whole list will do
   std::unique_ptr<Asker> watch_;
   std::unique_ptr<Asker> fetch_;
 };
--- a/src/net/worker.hpp
+++ b/src/net/worker.hpp
@@ -29,6 +29,7 @@
   void Locate(WorkerId worker, const Endpoint& endpoint) override;
   void Release(WorkerId worker) override;
 
+  void SetLimits(const WorkerLimits& limits) { limits_ = limits; }
   std::size_t connections() const { return count_; }
 
  private:
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -477,6 +477,40 @@
   rig.Hears(client, "still there");
 }
 
+// Guards against a reload that leaves the proxy with the old address: it would never hear of a drain again.
+TEST_CASE("discovery moves: the whole list from the new address, and nothing more from the old one") {
+  Rig rig(Asking());
+  Host before, after, elsewhere;
+  rig.Know({&before});
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  Peer& open = rig.Request(before, "a1");
+  Peer& old = Question(rig, "/discovery/hosts?after=41&wait_ms=0");
+  rig.discovery.Move(elsewhere.endpoint(), "elsewhere");
+  rig.Until("the old connection ends", [&] { return old.Ended(); });
+  auto asked = [&](const std::string& target) {
+    rig.Until(target.c_str(), [&] {
+      elsewhere.Accept();
+      return !elsewhere.peers.empty() && elsewhere.peers.back().Has("GET " + target + " HTTP/1.1\r\n");
+    });
+    elsewhere.peers.back().text.clear();
+    return &elsewhere.peers.back();
+  };
+  asked("/discovery/hosts")->Abort();  // asked for whole again, since no version of theirs is held yet
+  std::string entry = R"({"uid":"s-1","endpoint":"127.0.0.1:)" + std::to_string(after.port) +
+                      R"(","az":"here","model":"plain","state":"up","boot_ms":0})";
+  asked("/discovery/hosts")->Say(Answer(200, R"({"rev":3,"all":true,"targets":[)" + entry + "]}"));
+  asked("/discovery/hosts?after=3&wait_ms=500");
+  Peer next = rig.Client();
+  for (const char* id : {"a2", "a3"}) {
+    next.Say(Check(id));
+    rig.Request(after, id).Say(Answer(200, id));
+    rig.Hears(next, std::string("\r\n\r\n") + id);
+  }
+  open.Say(Answer(200, "held on"));
+  rig.Hears(client, "held on");
+}
+
 // Guards against an event that was fetched together with the one whose handler freed its receiver.
 TEST_CASE("no event reaches what has been forgotten, and timers go with their owners") {
   Loop loop;
@@ -526,7 +560,7 @@
  public:
   explicit Program(const std::string& config) {
     std::string path = folder_ + "/config.json";
-    std::ofstream(path) << config;
+    Write(config);
     pid_ = ::fork();
     REQUIRE(pid_ >= 0);
     if (pid_ == 0) {
@@ -557,6 +591,7 @@
     std::ifstream in(folder_ + "/log");
     return {std::istreambuf_iterator<char>(in), {}};
   }
+  void Write(const std::string& config) { std::ofstream(folder_ + "/config.json") << config; }
   void Signal(int number) { ::kill(pid_, number); }
 
  private:
@@ -569,10 +604,11 @@
   pid_t pid_ = 0;
 };
 
-std::string ProgramConfig(std::uint16_t port, std::uint16_t worker) {
+std::string ProgramConfig(std::uint16_t port, std::uint16_t worker, std::uint16_t discovery = 1) {
   std::string local = "\"127.0.0.1:";
   return "{\"name\":\"n0\",\"listen\":" + local + std::to_string(port) + "\",\"discovery\":" + local +
-         "1\",\"seed\":\"7\",\"limits\":{\"sockets\":256},\"known\":{\"rev\":1,\"all\":true,\"targets\":[{"
+         std::to_string(discovery) +
+         "\",\"seed\":\"7\",\"limits\":{\"sockets\":256},\"known\":{\"rev\":1,\"all\":true,\"targets\":[{"
          "\"uid\":\"s\","
          "\"endpoint\":" +
          local + std::to_string(worker) + "\",\"az\":\"a\",\"state\":\"up\"}]}," +
@@ -604,6 +640,35 @@
   CHECK(program.Wait() == 0);
 }
 
+// Guards against a reload that ends the program, or anything that it holds.
+TEST_CASE("SIGHUP: a bad file changes nothing, a good one moves discovery, and calls stay") {
+  Host worker, registry;
+  Program program(ProgramConfig(0, worker.port));
+  Rig outside;  // for its bounded waits only
+  auto said = [&](const char* text) {
+    outside.Until(text, [&] { return program.Said().find(text) != std::string::npos; });
+  };
+  said("workers known\n");
+  std::string start = program.Said();
+  Peer client = Peer::Dial(static_cast<std::uint16_t>(std::atoi(start.c_str() + start.find("port ") + 5)));
+  client.Say(Check("a1"));
+  Peer& at = outside.Request(worker, "a1");
+  program.Write("{\"name\":");
+  program.Signal(SIGHUP);
+  said("reload: the old configuration stays");
+  program.Write(ProgramConfig(0, worker.port, registry.port));
+  program.Signal(SIGHUP);
+  said("reload: done, discovery moves to");
+  outside.Until("the new one is asked", [&] {
+    registry.Accept();
+    return !registry.peers.empty() && registry.peers[0].Has("GET /discovery/hosts HTTP/1.1\r\n");
+  });
+  at.Say(Answer(200, "kept"));
+  outside.Hears(client, "kept");
+  program.Signal(SIGTERM);
+  CHECK(program.Wait() == 0);
+}
+
 TEST_CASE("the program says in one line why it can't start") {
   Host taken;
   for (const std::string& config :
