Send silent clients away first and soon; one odd client no longer makes others look late

Handshakes: budget.hpp closed unused connections to workers before those of silent clients, and acceptor.cpp left these alone for 120 s.

Refusals: AimOf in choice.cpp kept the longest time that any client of a class ever stated; a shorter one counts as begun long ago. Now a high quantile of unmarked first tries, and no more than the class has.

Also: class against method, key and body, doubled headers, the id of an open call and targets that are no path get an error here; hints beyond 16 times the patience are none; 4xx closes; huge bodies are drained in 64 KiB reads; workers that are gone are forgotten by gateway and worker links.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -323,9 +323,7 @@
         server.failures = 0;
         server.held_until = 0;
         server.heard = std::max(server.heard, attempt.sent);
-        tail_ *=
-            std::exp(kPaceStep * (latency > tail_ * attempt.expected ? kTailQuantile : kTailQuantile - 1));
-        tail_ = std::max(1.0, tail_);
+        tail_ = std::max(1.0, tail_ * Step(latency > tail_ * attempt.expected));
         if (request.hinted && latency > 0 && request.work >= mean_work_) {
           double ratio = latency * server.entry.size / request.work;
           double& pace = pace_.try_emplace(server.entry.kind, 1).first->second;
@@ -376,6 +374,8 @@
     }
   }
 
+  static double Step(bool up) { return std::exp(kPaceStep * (up ? kTailQuantile : kTailQuantile - 1)); }
+
   // Moves a running median of waits one step towards a sample.
   void StepMedian(double& median, double sample, const Server& server, double weight) const {
     double step = weight * kWaitStep * ServiceTime(mean_work_, server);
@@ -782,7 +782,8 @@
     Micros span = std::min(c.deadline, c.aim + static_cast<Micros>(c.aim_stretch * work));
     Micros aim_at = now_ + span;
     if (left < longest - longest / 20) aim_at = std::min(aim_at, e.deadline - c.deadline + span);
-    longest = std::max(longest, left);
+    // A high quantile: one client with more patience than all others must not make theirs look used up.
+    if (!e.client_retry) longest = longest == 0 ? left : Micros(longest * Step(left > longest));
     return aim_at;
   }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -69,7 +69,10 @@
     AcceptorOptions options;
     options.listen = config.listen;
     options.classes = config.classes;
-    for (const auto& c : config.settings.classes) options.patience.push_back(c.deadline);
+    for (const auto& c : config.settings.classes) {
+      options.patience.push_back(c.deadline);
+      options.effects.push_back(c.effect);
+    }
     return options;
   }
 
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -18,10 +18,18 @@
 
 constexpr int kAcceptsAtOnce = 64;
 constexpr Micros kRetryAccept = 50'000;
-constexpr Micros kHeadTime = 10'000'000;   // for a request to come whole once it has begun
-constexpr Micros kIdleTime = 120'000'000;  // without any request
+constexpr Micros kHeadTime =
+    2'400'000;  // for a request to come whole, from its first byte or from connecting
+constexpr Micros kIdleTime = 2'100'000;    // without any request
 constexpr Micros kWriteTime = 10'000'000;  // for a client to take its answer
 constexpr Micros kLinger = 1'000'000;      // for a client to read why we close
+constexpr std::size_t kWaste = 64 * 1024;  // read at once of what is thrown away
+constexpr int kHintTimes = 16;  // hints of more than this many times a class's patience are no hints
+
+// Doubled, these would mean one thing to us and perhaps another to a worker.
+constexpr std::array<std::string_view, 8> kOnce = {
+    "Request-Id",   "Request-Class", "Request-Timeout", "Idempotency-Key", "Work-Hint",
+    "Client-Retry", "Host",          "Request-Info"};
 
 }  // namespace
 
@@ -29,26 +37,34 @@
 class Acceptor::Conn final : public Channel::Owner, public Caller {
  public:
   explicit Conn(Acceptor& acceptor)
-      : channel(acceptor.loop_, *this), acceptor_(acceptor), timer_(acceptor.loop_) {}
+      : channel(acceptor.loop_, *this),
+        acceptor_(acceptor),
+        timer_(acceptor.loop_),
+        began_(acceptor.loop_.Now()) {}
 
+  // Until a request is whole. No byte but its first starts the time anew, and on a new connection not even
+  // that one: guards against clients that hold a connection by saying nothing, or little at a time.
   void Begin() {
     if (parser_.begun()) {
-      timer_.Set(kHeadTime, [this] { Reject(408, "the request took too long to arrive"); });
+      Micros left = fresh_ ? began_ + kHeadTime - acceptor_.loop_.Now() : kHeadTime;
+      timer_.Set(left, [this] { Reject(408, "the request took too long to arrive"); });
     } else {
-      timer_.Set(kIdleTime, [this] { acceptor_.Drop(*this); });
+      timer_.Set(kIdleTime, [this] { Leave(); });
     }
   }
 
   bool idle() const { return state_ == State::kReading && !parser_.begun(); }
 
-  // For the end of service: an unused connection goes, one in use goes with its answer.
+  // An unused connection goes, unless a request is on its way in; one in use goes with its answer.
   void Leave() {
     channel.Resume();
     if (channel.open() && idle() && !channel.Stale()) acceptor_.Drop(*this);
   }
 
   // While a call is open the parser holds at most the start of the next request, and no more is read.
-  std::span<char> Room() override { return state_ == State::kClosing ? Waste() : parser_.Room(); }
+  std::span<char> Room() override {
+    return state_ == State::kClosing ? std::span<char>(acceptor_.waste_) : parser_.Room();
+  }
 
   void OnBytes(std::size_t n) override {
     if (state_ == State::kClosing) return;
@@ -56,8 +72,8 @@
     parser_.Got(n);
     if (state_ != State::kReading) return;
     if (fresh) {
-      began_ = acceptor_.loop_.Now();
       Begin();
+      began_ = acceptor_.loop_.Now();
     }
     Look();
   }
@@ -94,7 +110,9 @@
   void End() {
     timer_.Clear();
     channel.Close();
-    if (std::exchange(state_, State::kClosing) == State::kWaiting) acceptor_.gateway_.Left(call_);
+    if (std::exchange(state_, State::kClosing) != State::kWaiting) return;
+    CloseCall();
+    acceptor_.gateway_.Left(call_);
   }
 
   Channel channel;
@@ -103,8 +121,6 @@
  private:
   enum class State { kReading, kWaiting, kWriting, kClosing };
 
-  std::span<char> Waste() { return waste_; }
-
   void Look() {
     if (parser_.bad()) return Reject(parser_.error_status(), "the request is malformed or too large");
     if (parser_.wants_continue()) {
@@ -115,6 +131,7 @@
     if (!parser_.done() || !channel.open()) return;
     http::MessageRef request = parser_.Take();
     keep_ = request->keep_alive();
+    fresh_ = false;
     acceptor_.conns_.splice(acceptor_.conns_.end(), acceptor_.conns_, place);
     if (request->path() == "/up") {
       bool up = !acceptor_.draining_;
@@ -125,25 +142,44 @@
 
   void Call(http::MessageRef request) {
     if (request->method() != "GET" && request->method() != "POST") {
-      return Say(405, "only GET and POST are served", 0);
+      return Reject(405, "only GET and POST are served");
+    }
+    if (request->target().front() != '/') return Reject(400, "the target is no path");
+    for (std::string_view name : kOnce) {
+      if (request->Count(name) > 1) return Reject(400, "a header that must stand once is doubled");
     }
     auto known = acceptor_.class_of_.find(std::string(request->Find("Request-Class").value_or("")));
-    if (known == acceptor_.class_of_.end()) return Say(400, "Request-Class is missing or unknown", 0);
-    if (request->Find("Request-Id").value_or("").empty()) return Say(400, "Request-Id is missing", 0);
+    if (known == acceptor_.class_of_.end()) return Reject(400, "Request-Class is missing or unknown");
+    id_ = request->Find("Request-Id").value_or("");
+    if (id_.empty()) return Reject(400, "Request-Id is missing");
+    auto place = static_cast<std::size_t>(known->second);
+    // Workers turn away what doesn't fit together, and that would look like a fault of theirs.
+    sandstand::Effect effect = acceptor_.options_.effects[place];
+    bool safe = effect == sandstand::Effect::kSafe;
+    bool keyed = !request->Find("Idempotency-Key").value_or("").empty();
+    if ((request->method() == "GET") != safe || keyed != (effect == sandstand::Effect::kKeyed) ||
+        (safe && !request->body().empty())) {
+      return Reject(400, "method, key or body do not go with the class");
+    }
+    // Guards against a second call under one id: both would be one request to a worker.
+    if (!acceptor_.open_ids_.insert(id_).second) return Reject(409, "a call with this Request-Id is open");
     Arrival arrival;
     arrival.call_class = known->second;
-    Micros patience = acceptor_.options_.patience[static_cast<std::size_t>(known->second)];
+    Micros patience = acceptor_.options_.patience[place];
+    Micros most_hint = kHintTimes * patience;
     if (auto stated = request->Find("Request-Timeout")) {
       auto span = http::ParseTimeout(*stated);
-      if (!span) return Say(400, "Request-Timeout is malformed", 0);
-      patience = *span;
+      if (!span) return CloseCall(), Reject(400, "Request-Timeout is malformed");
+      patience = std::min(patience, *span);
     }
     // The client's time runs from its sending, so a request that came slowly has less of it left.
     arrival.deadline = began_ + patience;
     if (auto hint = request->Find("Work-Hint")) {
       Micros work = 0;
       auto [end, failed] = std::from_chars(hint->data(), hint->data() + hint->size(), work);
-      if (failed == std::errc() && end == hint->data() + hint->size() && work > 0) arrival.work_hint = work;
+      if (failed == std::errc() && end == hint->data() + hint->size() && work > 0 && work <= most_hint) {
+        arrival.work_hint = work;
+      }
     }
     arrival.client_retry = request->Find("Client-Retry") == "1";
     arrival.payload = std::move(request);
@@ -153,7 +189,10 @@
     acceptor_.gateway_.Arrive(call_, std::move(arrival), *this);
   }
 
+  void CloseCall() { acceptor_.open_ids_.erase(id_); }
+
   void Answering() {
+    if (state_ == State::kWaiting) CloseCall();
     state_ = State::kWriting;
     if (acceptor_.draining_) keep_ = false;
     timer_.Set(kWriteTime, [this] { acceptor_.Drop(*this); });
@@ -176,13 +215,20 @@
   Timer timer_;
   State state_ = State::kReading;
   CallId call_ = 0;
-  Micros began_ = 0;  // when the first bytes of the request were here
+  std::string id_;     // of the call
+  Micros began_;       // when the first bytes of the request were here, or the connection
+  bool fresh_ = true;  // no request has come whole
   bool keep_ = true;
-  std::array<char, 512> waste_;
 };
 
 Acceptor::Acceptor(Loop& loop, Log& log, Gateway& gateway, Budget& budget, AcceptorOptions options)
-    : loop_(loop), log_(log), gateway_(gateway), budget_(budget), options_(std::move(options)), pause_(loop) {
+    : loop_(loop),
+      log_(log),
+      gateway_(gateway),
+      budget_(budget),
+      options_(std::move(options)),
+      waste_(kWaste),
+      pause_(loop) {
   budget_.SetSpare(Budget::Side::kClients, [this] { return DropOneIdle(); });
   budget_.SetFreed([this] {
     if (waiting_ && listener_) loop_.Again(token_, EPOLLIN);
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "net/budget.hpp"
@@ -18,8 +19,9 @@
 
 struct AcceptorOptions {
   Endpoint listen;
-  std::vector<std::string> classes;  // by their places in the settings
-  std::vector<Micros> patience;      // of a class, for clients that state none
+  std::vector<std::string> classes;        // by their places in the settings
+  std::vector<Micros> patience;            // of a class: no client waits longer
+  std::vector<sandstand::Effect> effects;  // of a class: which method and key go with it
 };
 
 class Acceptor final : private EventSink {
@@ -51,6 +53,8 @@
   Budget& budget_;
   AcceptorOptions options_;
   std::unordered_map<std::string, int> class_of_;
+  std::unordered_set<std::string> open_ids_;  // of the calls that are open
+  std::vector<char> waste_;                   // where what nobody will read goes
   Fd listener_;
   Loop::Token token_ = 0;
   Timer pause_;  // after accept failed for want of descriptors
--- a/src/net/budget.hpp
+++ b/src/net/budget.hpp
@@ -20,10 +20,11 @@
   }
   void SetFreed(std::function<void()> freed) { freed_ = std::move(freed); }
 
-  // Room for one more, if need be by closing an unused connection, workers' first.
+  // Room for one more, if need be by closing an unused connection, clients' first: a client opens another for
+  // nothing, a worker's costs that worker a handshake. Guards against a silent crowd costing all of those.
   bool MakeRoom(Side side) {
     while (!Fits(side)) {
-      if (!(spare_worker_ && spare_worker_()) && !(spare_client_ && spare_client_())) return false;
+      if (!(spare_client_ && spare_client_()) && !(spare_worker_ && spare_worker_())) return false;
     }
     return true;
   }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -162,10 +162,9 @@
                 a >> 8 & 255, a & 255, entry.endpoint.port);
       known.endpoint = entry.endpoint;
     }
-    known.state = entry.state;
     named.insert(entry.uid);
     if (entry.state != WorkerState::kGone) workers_->Locate(known.id, entry.endpoint);
-    if (entry.state != WorkerState::kReady) workers_->Release(known.id);
+    if (entry.state == WorkerState::kDraining) workers_->Release(known.id);
     sandstand::ServerEntry server;
     server.id = known.id;
     server.zone = entry.zone;
@@ -177,13 +176,17 @@
     // with each list, never seems to change: to the module that would be a restart.
     server.started_at = entry.boot_unix;
     event.entries.push_back(server);
+    if (entry.state != WorkerState::kGone) continue;
+    workers_->Forget(known.id);
+    workers_by_uid_.erase(it);
   }
+  // Guards against tables that grow for as long as workers are replaced: who is gone is forgotten.
   if (list.kind == WorkerList::Kind::kFull || list.kind == WorkerList::Kind::kCached) {
-    for (auto& [uid, absent] : workers_by_uid_) {
-      if (absent.state == WorkerState::kGone || named.count(uid) != 0) continue;
-      absent.state = WorkerState::kGone;
-      workers_->Release(absent.id);
-    }
+    std::erase_if(workers_by_uid_, [&](const auto& known) {
+      bool absent = named.count(known.first) == 0;
+      if (absent) workers_->Forget(known.second.id);
+      return absent;
+    });
   }
   Deliver(std::move(event));
 }
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -35,6 +35,7 @@
 
   std::size_t open_calls() const { return open_calls_; }
   std::size_t table_size() const { return calls_.size(); }
+  std::size_t workers_known() const { return workers_by_uid_.size(); }
 
  private:
   struct Sent {
@@ -51,7 +52,6 @@
   struct Known {
     WorkerId id = 0;
     Endpoint endpoint;
-    WorkerState state = WorkerState::kGone;
   };
 
   void Deliver(sandstand::Event event);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -58,6 +58,8 @@
       return "Bad Request";
     case 405:
       return "Method Not Allowed";
+    case 409:
+      return "Conflict";
     case 408:
       return "Request Timeout";
     case 413:
@@ -104,6 +106,11 @@
   return std::nullopt;
 }
 
+std::size_t Message::Count(std::string_view name) const {
+  auto same = [&](const Header& h) { return Same(View(h.name), name); };
+  return static_cast<std::size_t>(std::count_if(headers_.begin(), headers_.end(), same));
+}
+
 std::vector<std::string_view> Message::EndToEnd() const {
   static constexpr std::array<std::string_view, 12> kOurs = {"Connection",
                                                              "Keep-Alive",
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -33,6 +33,7 @@
   bool keep_alive() const { return keep_alive_; }
   // The first header of that name, in any case.
   std::optional<std::string_view> Find(std::string_view name) const;
+  std::size_t Count(std::string_view name) const;
   // The lines, line ends included, of the headers that concern more than this connection and this framing.
   std::vector<std::string_view> EndToEnd() const;
 
--- a/src/net/types.hpp
+++ b/src/net/types.hpp
@@ -87,6 +87,7 @@
   virtual void GiveUp(DelegationKey key) = 0;
   virtual void Locate(WorkerId worker, const Endpoint& endpoint) = 0;
   virtual void Release(WorkerId worker) = 0;  // takes no new work: its unused connections can go
+  virtual void Forget(WorkerId worker) = 0;   // gone for good: nothing is sent there again
 
  protected:
   ~Workers() = default;
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -107,6 +107,12 @@
   while (!it->second.idle.empty()) DropIdle(*it->second.idle.back());
 }
 
+// What is still out there goes on; its connection finds no pool to return to.
+void WorkerLinks::Forget(WorkerId worker) {
+  Release(worker);
+  pools_.erase(worker);
+}
+
 void WorkerLinks::Start(const Delegation& delegation) {
   auto it = pools_.find(delegation.worker);
   if (it == pools_.end()) return gateway_.Ended(delegation.key, DelegationEnd::kNotSent, nullptr);
--- a/src/net/worker.hpp
+++ b/src/net/worker.hpp
@@ -28,8 +28,10 @@
   void GiveUp(DelegationKey key) override;
   void Locate(WorkerId worker, const Endpoint& endpoint) override;
   void Release(WorkerId worker) override;
+  void Forget(WorkerId worker) override;
 
   void SetLimits(const WorkerLimits& limits) { limits_ = limits; }
+  std::size_t pools() const { return pools_.size(); }
   std::size_t connections() const { return count_; }
 
  private:
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -329,6 +329,86 @@
   CHECK_FALSE(worker.Accept());
 }
 
+// Guards against clients that hold a connection for nothing: no byte but a request's first starts its time
+// anew.
+TEST_CASE("clients that say nothing, or little at a time, are sent away") {
+  Rig rig;
+  Peer silent = rig.Client();
+  Peer slow = rig.Client();
+  Peer served = rig.Client();
+  served.Say("GET /up HTTP/1.1\r\n\r\n");
+  slow.Say("GET / HTTP/1.1\r\n");
+  Micros said = 0;
+  rig.Until("the silent ones go", [&] {
+    if (!slow.Ended() && rig.loop.Now() > said + 20 * kMs) slow.Say("x"), said = rig.loop.Now();
+    return silent.Ended() && served.Ended() && slow.Has("HTTP/1.1 408 ");
+  });
+  CHECK(served.Has("HTTP/1.1 200 "));
+  CHECK(silent.text.empty());
+}
+
+// Guards against a worker being sent what it can only turn away, and against two calls under one id.
+TEST_CASE("requests that contradict themselves or each other get an error and reach no worker") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer first = rig.Client();
+  first.Say(Check("a1"));
+  Peer& at = rig.Request(worker, "a1");
+  std::string key = "Idempotency-Key: 5\r\n";
+  auto post = [](const std::string& c, const std::string& more) {
+    return "POST /api HTTP/1.1\r\nRequest-Id: b1\r\nRequest-Class: " + c + "\r\n" + more + "\r\n";
+  };
+  struct {
+    std::string bytes;
+    const char* status;
+  } cases[] = {{Check("a1"), "409"},
+               {Pay("a1"), "409"},
+               {post("check", ""), "400"},
+               {post("pay", key), "400"},
+               {post("open", ""), "400"},
+               {post("open", key + key), "400"},
+               {Check("b1", key), "400"},
+               {Check("b1", "Request-Id: b2\r\n"), "400"},
+               {Check("b1", "Request-Class: pay\r\n"), "400"},
+               {Check("b1", "Content-Length: 2\r\n") + "hi", "400"},
+               {"GET api HTTP/1.1\r\nRequest-Id: b1\r\nRequest-Class: check\r\n\r\n", "400"}};
+  for (const auto& c : cases) {
+    INFO(c.bytes);
+    Peer client = rig.Client();
+    client.Say(c.bytes);
+    rig.Hears(client, std::string("HTTP/1.1 ") + c.status);
+    rig.Until("the proxy closes", [&] { return client.Ended(); });
+  }
+  CHECK_FALSE(worker.Accept());
+  at.Say(Answer(200, "one"));
+  rig.Hears(first, "one");
+  Peer again = rig.Client();  // an id is free again once its call is over
+  again.Say(Check("a1", "Request-Timeout: 1\r\n"));
+  rig.Hears(again, "HTTP/1.1 400 ");
+  first.Say(
+      "GET /api HTTP/1.1\r\nRequest-Id: a1\r\nRequest-Class: check\r\nRequest-Timeout: 999999999m\r\n\r\n");
+  at.text.clear();
+  std::size_t told = rig.Request(worker, "a1").text.find("Request-Timeout: ");
+  CHECK(std::atol(at.text.c_str() + told + 17) <= kBound);  // no longer than its class has
+}
+
+// Guards against draining a huge body in so small reads that it takes the processor, or not at all, so that
+// the answer is lost in a reset.
+TEST_CASE("a body beyond all bounds is answered at once and read away in large pieces") {
+  Rig rig;
+  Peer client = rig.Client();
+  client.Say("POST / HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
+  rig.Hears(client, "HTTP/1.1 413 ");
+  const std::string piece(64 * 1024, 'x');
+  for (int i = 0; i < 32; ++i) {  // 32 rounds of eight small reads would not take this
+    client.Say(piece);
+    rig.loop.Round(0);
+  }
+  rig.Until("the proxy closes", [&] { return client.Ended(); });
+  CHECK_FALSE(client.reset);
+}
+
 TEST_CASE("a client that asks whether to go on is told so") {
   Rig rig;
   Host worker;
@@ -367,6 +447,46 @@
   CHECK_FALSE(third.Ended());
 }
 
+// Guards against a silent crowd that costs all connections to workers, and each worker a handshake.
+TEST_CASE("at the limit unused clients go before unused connections to workers") {
+  Rig rig(Rules(), kBound, 6, 0);
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  rig.Request(worker, "a1").Say(Answer(200, "one"));
+  rig.Hears(client, "one");
+  std::vector<Peer> crowd;
+  for (int i = 0; i < 12; ++i) {
+    crowd.push_back(rig.Client());
+    rig.loop.Round(0);
+  }
+  rig.Until("the first of them went", [&] { return crowd[0].Ended() && crowd[4].Ended(); });
+  CHECK(rig.workers.connections() == 1);
+  CHECK(rig.budget.used() <= 6);
+}
+
+// Guards against tables that grow for as long as workers are replaced.
+TEST_CASE("a worker that is gone is forgotten, and its last answer still arrives") {
+  Rig rig;
+  Host first;
+  rig.Know({&first}, WorkerList::Kind::kFull);
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  Peer& at = rig.Request(first, "a1");
+  for (int i = 0; i < 20; ++i) {
+    Host next;
+    rig.Know({&next}, WorkerList::Kind::kFull);
+    if (i % 2 == 0) rig.Know({&next}, WorkerList::Kind::kChanges, WorkerState::kGone);
+    CHECK(rig.gateway.workers_known() <= 1);
+    CHECK(rig.workers.pools() <= 1);
+  }
+  at.Say(Answer(200, "late but good"));
+  rig.Hears(client, "late but good");
+  CHECK(rig.workers.connections() == 0);
+  Settles(rig);
+}
+
 // Guards against requests that wait unanswered in the kernel: some connections are kept for clients alone.
 TEST_CASE("without a connection left for workers a call is not sent, and is refused at once") {
   Rig rig(Rules(), kBound, 4, 2);
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -49,6 +49,7 @@
         text.append(bytes, static_cast<std::size_t>(n));
         continue;
       }
+      reset = reset || (n < 0 && errno == ECONNRESET);
       ended = ended || n == 0 || errno == ECONNRESET;
       return text;
     }
@@ -63,6 +64,7 @@
   }
   std::string text;
   bool ended = false;
+  bool reset = false;
 
  private:
   Fd fd_;
@@ -106,7 +108,10 @@
   safe.effect = sandstand::Effect::kSafe;
   sandstand::ClassSettings unsafe = safe;
   unsafe.effect = sandstand::Effect::kUnsafe;
-  s.classes = {safe, unsafe};
+  sandstand::ClassSettings keyed = safe;
+  keyed.effect = sandstand::Effect::kKeyed;
+  keyed.window = 4'000 * kMs;
+  s.classes = {safe, unsafe, keyed};
   s.max_attempts = 3;
   s.may_cancel = true;
   s.advise_retry = true;
@@ -124,7 +129,11 @@
       : gateway(loop, log, rules),
         budget(connections, kept),
         workers(loop, log, gateway, budget, {kBound, idle}),
-        acceptor(loop, log, gateway, budget, {{kLoopback, 0}, {"check", "pay"}, {kBound, kBound}}),
+        acceptor(loop, log, gateway, budget,
+                 {{kLoopback, 0},
+                  {"check", "pay", "open"},
+                  {kBound, kBound, kBound},
+                  {sandstand::Effect::kSafe, sandstand::Effect::kUnsafe, sandstand::Effect::kKeyed}}),
         discovery(loop, log, gateway,
                   {registry.endpoint(), "discovery", {{"here"}, {"plain"}}, 41, rules.ask_within}) {
     gateway.Connect(workers, discovery);
--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -285,5 +285,22 @@
   EXPECT_TRUE(g.Sent(2));
 }
 
+// Guards against one odd client: after it, every other would be taken for one that began long ago, and
+// refused.
+TEST(Admission, OnePatientClientDoesNotMakeAllOthersLookLate) {
+  for (bool odd : {false, true}) {
+    Gateway g(BasicSettings());
+    g.List({Entry(1)});
+    for (RequestId id = 1; id <= 100; ++id) {
+      g.now += 30 * kMs;
+      g.Arrive(id, kShort, kSafeClass, (odd && id == 60 ? 4000 : 2500) * kMs);
+      g.End(id, Outcome::kServed, 0, kShort);
+    }
+    Stick(g, 300 * kMs);
+    g.Arrive(101, kShort, kSafeClass, 2500 * kMs);
+    EXPECT_TRUE(g.Sent(101)) << odd;
+  }
+}
+
 }  // namespace
 }  // namespace sandstand::testing
