Don't reuse connections to workers after a rest that was seen to break them

Checked: the settings allow 15 s of idling and we retire at 9 s; these workers leave far earlier, and the look before reuse (Channel::Stale) does not show it, so worker.cpp (TakeIdle) wrote into them and the outcome was a reset that may have run. Ruled out: connections that are new (their resets are few).

Now each request on a rested connection counts for or against rests of that length, by doublings; a span in which more than a tenth break is not used again, nor a longer one. Counts halve every 10 s, so that it is tried again.

--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -95,6 +95,7 @@
   Timer& operator=(const Timer&) = delete;
   void Set(Micros after, std::function<void()> what);
   void Clear();
+  bool set() const { return set_; }
 
  private:
   Loop& loop_;
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -1,6 +1,7 @@
 #include "net/worker.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace dappletiller {
@@ -11,6 +12,10 @@
 constexpr int kIdlePartNumerator = 3;
 constexpr int kIdlePartDenominator = 5;
 
+constexpr Micros kFadeEvery = 10'000'000;
+constexpr double kBrokenPart =
+    0.1;  // of the kept ones that may break before such a rest is taken for too long
+
 DelegationEnd Judge(const http::Message& answer) {
   if (answer.status() == 200) return DelegationEnd::kAnswered;
   bool refused = answer.status() == 503 || answer.status() == 504;
@@ -50,6 +55,7 @@
     parser_.Ended();
     if (busy && parser_.done()) return Look();
     if (!busy) return links_.DropIdle(*this);
+    if (written_ && !parser_.begun()) links_.NoteRest(rest, false);
     // What was never written whole can't have run.
     links_.Finish(*this, written_ ? DelegationEnd::kReset : DelegationEnd::kUnreachable, nullptr);
   }
@@ -63,6 +69,8 @@
   Timer timer;  // dialling, or idle
   Channel channel;
   LinkList::iterator place;  // while idle
+  Micros parked_at = 0;
+  Micros rest = -1;  // before the delegation at hand; none on a new connection
 
  private:
   void Look() {
@@ -79,6 +87,7 @@
     // An answer before the request was written whole leaves a connection with half a request on it.
     reusable_ = answer->keep_alive() && written_ && !parser_.begun();
     DelegationEnd end = Judge(*answer);
+    links_.NoteRest(rest, true);
     links_.Finish(*this, end, std::move(answer));
   }
 
@@ -89,7 +98,7 @@
 };
 
 WorkerLinks::WorkerLinks(Loop& loop, Log& log, Gateway& gateway, Budget& budget, const WorkerLimits& limits)
-    : loop_(loop), log_(log), gateway_(gateway), budget_(budget), limits_(limits) {
+    : loop_(loop), log_(log), gateway_(gateway), budget_(budget), limits_(limits), fade_(loop) {
   budget_.SetSpare(Budget::Side::kWorkers, [this] { return DropOneIdle(); });
 }
 
@@ -145,13 +154,42 @@
     std::unique_ptr<Link> link = std::move(pool.idle.back());
     pool.idle.pop_back();
     link->timer.Clear();
-    // Guards against writing into a connection whose end is known to the kernel but not yet to us.
-    if (!link->channel.Stale()) return link;
+    link->rest = loop_.Now() - link->parked_at;
+    // Guards against writing into a connection whose end is known to the kernel but not yet to us, or that a
+    // worker has most likely left by now without our being told.
+    if (!link->channel.Stale() && Trusted(link->rest)) return link;
     Discard(std::move(link));
   }
   return nullptr;
 }
 
+std::size_t WorkerLinks::Place(Micros rest) {
+  return std::min<std::size_t>(std::bit_width(static_cast<std::uint64_t>(rest) / 1000), 31);
+}
+
+// A rest is too long if it, or a shorter one, broke too many.
+bool WorkerLinks::Trusted(Micros rest) const {
+  return std::none_of(rested_.begin(), rested_.begin() + static_cast<std::ptrdiff_t>(Place(rest)) + 1,
+                      [](const Rested& r) { return r.broken > 1 + kBrokenPart * r.kept; });
+}
+
+void WorkerLinks::NoteRest(Micros rest, bool kept) {
+  if (rest < 0) return;
+  Rested& rested = rested_[Place(rest)];
+  (kept ? rested.kept : rested.broken) += 1;
+  if (!kept && !fade_.set()) fade_.Set(kFadeEvery, [this] { Fade(); });
+}
+
+void WorkerLinks::Fade() {
+  bool any = false;
+  for (Rested& r : rested_) {
+    r.kept /= 2;
+    r.broken /= 2;
+    any = any || r.broken > kBrokenPart;
+  }
+  if (any) fade_.Set(kFadeEvery, [this] { Fade(); });
+}
+
 bool WorkerLinks::DropOneIdle() {
   for (auto& [id, pool] : pools_) {
     if (pool.idle.empty()) continue;
@@ -190,6 +228,7 @@
   auto it = pools_.find(link->worker);
   if (it == pools_.end() || !(it->second.endpoint == link->endpoint)) return Discard(std::move(link));
   Link& parked = *link;
+  parked.parked_at = loop_.Now();
   it->second.idle.push_back(std::move(link));
   parked.place = std::prev(it->second.idle.end());
   parked.timer.Set(limits_.idle * kIdlePartNumerator / kIdlePartDenominator,
--- a/src/net/worker.hpp
+++ b/src/net/worker.hpp
@@ -2,6 +2,7 @@
 #ifndef DAPPLETILLER_NET_WORKER_HPP_
 #define DAPPLETILLER_NET_WORKER_HPP_
 
+#include <array>
 #include <list>
 #include <memory>
 #include <unordered_map>
@@ -42,6 +43,17 @@
     LinkList idle;  // the most recently used last
   };
 
+  // How connections fared that had rested for about as long (by doublings): workers may close them long
+  // before the time in the settings, and a request that meets that counts as one that may have run.
+  struct Rested {
+    double kept = 0;
+    double broken = 0;
+  };
+  static std::size_t Place(Micros rest);
+  bool Trusted(Micros rest) const;
+  void NoteRest(Micros rest, bool kept);
+  void Fade();
+
   std::unique_ptr<Link> TakeIdle(Pool& pool);
   bool DropOneIdle();
   void Finish(Link& link, DelegationEnd end, PayloadRef answer);
@@ -57,6 +69,8 @@
   std::unordered_map<WorkerId, Pool> pools_;
   std::unordered_map<DelegationKey, std::unique_ptr<Link>, DelegationKeyHash> busy_;
   std::size_t count_ = 0;
+  std::array<Rested, 32> rested_;
+  Timer fade_;  // of what is known of rests, so that they are tried again
 };
 
 }  // namespace dappletiller
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -179,6 +179,29 @@
   }
 }
 
+// Guards against workers that leave idle connections early and don't say so: each request that meets one
+// would end as a reset, and one that must not run twice would fail.
+TEST_CASE("a rest that breaks connections is not given to them again") {
+  Rig rig;
+  Host worker;
+  rig.workers.Locate(1, worker.endpoint());
+  int broken = 0;
+  for (CallId i = 0; i < 12; ++i) {  // past the gateway, which would have the module leave the worker alone
+    std::string id = "a" + std::to_string(i);
+    std::size_t before = worker.peers.size();
+    rig.workers.Start({{1000 + i, 0}, 1, kBound, Parsed(Pay(id))});
+    Peer& at = rig.Request(worker, id);
+    bool fresh = worker.peers.size() > before;
+    broken += !fresh;
+    fresh ? at.Say(Answer(200, "paid")) : at.Abort();
+    Micros rested = rig.loop.Now() + 150 * kMs;
+    rig.Until("the connection has rested", [&] { return rig.loop.Now() > rested; });
+    rig.Until("its end is known", [&] { return rig.workers.connections() == (fresh ? 1 : 0); });
+  }
+  CHECK(broken >= 1);
+  CHECK(broken <= 4);  // the rests may fall into two neighbouring spans
+}
+
 TEST_CASE("an idle connection is closed before the worker would close it") {
   Rig rig(Rules(), 50 * kMs);
   Host worker;
