Free clients' places as they fill, by what each connection was good for

A count each second in the acceptor: 192 to 573 calls a second until 128 connections that had called stood open (a third of the 384 descriptors, all that clients may hold for calls), then 21 to 106, with 50 to 130 closed by the idle timer. Each one-shot client kept its place for the whole 2.1 s.

Ruled out: descriptors (222 of 368 used), the workers (p99 310 ms, nothing turned away), the processor (0.09 of a core), silent clients (94 of them, beside the third).

Change: src/limits/client_room decides, without I/O, which connections may stay. Beyond half of the places those used once go, the longest at rest first; beyond three quarters also those that came back; with all of them busy the answer itself says so. For a descriptor the order is told to go, silent, only /up, used once, come back: what a connection is comes before when it was last heard of. Making room no longer reads from the connection that goes: a request that came to light there could make room again from within.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,6 +28,7 @@
 
 constexpr std::size_t kOwnDescriptors = 16;  // listener, discovery, epoll, standard streams and some more
 constexpr std::size_t kKeptPart = 8;         // one in so many connections is kept for clients
+constexpr std::size_t kPlacesPart = 3;  // one in so many descriptors is the most that clients hold for calls
 
 Config Load() {
   const char* path = std::getenv("BALANCER_CONFIG");
@@ -68,6 +69,7 @@
   static AcceptorOptions Accepting(const Config& config) {
     AcceptorOptions options;
     options.listen = config.listen;
+    options.places = config.sockets / kPlacesPart;
     options.classes = config.classes;
     for (const auto& c : config.settings.classes) {
       options.patience.push_back(c.deadline);
@@ -119,6 +121,7 @@
     bool later = fresh.settings_text != config_.settings_text || !(fresh.listen == config_.listen);
     bool moved = !(fresh.discovery == config_.discovery);
     budget_.Resize(fresh.sockets - kOwnDescriptors, fresh.sockets / kKeptPart);
+    acceptor_.Resize(fresh.sockets / kPlacesPart);
     workers_.SetLimits(Reaching(fresh));
     if (moved) discovery_.Move(fresh.discovery, fresh.discovery_text);
     log_.Line("reload: done, discovery %s %s%s", moved ? "moves to" : "stays at",
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -36,8 +36,9 @@
 // One client's connection, one call at a time.
 class Acceptor::Conn final : public Channel::Owner, public Caller {
  public:
-  explicit Conn(Acceptor& acceptor)
+  Conn(Acceptor& acceptor, limits::ClientRoom::Id id)
       : channel(acceptor.loop_, *this),
+        id(id),
         acceptor_(acceptor),
         timer_(acceptor.loop_),
         began_(acceptor.loop_.Now()) {}
@@ -55,10 +56,14 @@
 
   bool idle() const { return state_ == State::kReading && !parser_.begun(); }
 
-  // An unused connection goes, unless a request is on its way in; one in use goes with its answer.
-  void Leave() {
-    channel.Resume();
-    if (channel.open() && idle() && !channel.Stale()) acceptor_.Drop(*this);
+  // An unused connection goes, unless a request is on its way in; one in use goes with its answer. Nothing is
+  // read here: a request that came to light could have its worker's connection make room, and so enter this
+  // again.
+  bool Leave() {
+    if (!channel.open() || !(idle() || state_ == State::kClosing)) return false;
+    if (state_ != State::kClosing && channel.Stale()) return false;
+    acceptor_.Drop(*this);
+    return true;
   }
 
   // While a call is open the parser holds at most the start of the next request, and no more is read.
@@ -72,6 +77,7 @@
     parser_.Got(n);
     if (state_ != State::kReading) return;
     if (fresh) {
+      acceptor_.room_.Receiving(id);
       Begin();
       began_ = acceptor_.loop_.Now();
     }
@@ -83,16 +89,23 @@
     if (!keep_) {
       state_ = State::kClosing;
       channel.EndSending();
+      acceptor_.room_.ToldToGo(id);
       timer_.Set(kLinger, [this] { acceptor_.Drop(*this); });
       channel.Resume();
       return;
     }
     state_ = State::kReading;
-    if (acceptor_.closed_ && !parser_.begun()) return Leave();
     began_ = acceptor_.loop_.Now();
     Begin();
     Look();
     channel.Resume();
+    if (!channel.open() || !idle()) return;
+    acceptor_.room_.Rested(id);
+    if (acceptor_.closed_) {
+      Leave();
+    } else {
+      acceptor_.Trim();
+    }
   }
 
   void OnGone() override { acceptor_.Drop(*this); }
@@ -116,7 +129,7 @@
   }
 
   Channel channel;
-  ConnList::iterator place;
+  const limits::ClientRoom::Id id;
 
  private:
   enum class State { kReading, kWaiting, kWriting, kClosing };
@@ -132,8 +145,8 @@
     http::MessageRef request = parser_.Take();
     keep_ = request->keep_alive();
     fresh_ = false;
-    acceptor_.conns_.splice(acceptor_.conns_.end(), acceptor_.conns_, place);
     if (request->path() == "/up") {
+      acceptor_.room_.Probed(id);
       bool up = !acceptor_.draining_;
       return Say(up ? 200 : 503, up ? "up" : "leaving", 0);
     }
@@ -150,8 +163,8 @@
     }
     auto known = acceptor_.class_of_.find(std::string(request->Find("Request-Class").value_or("")));
     if (known == acceptor_.class_of_.end()) return Reject(400, "Request-Class is missing or unknown");
-    id_ = request->Find("Request-Id").value_or("");
-    if (id_.empty()) return Reject(400, "Request-Id is missing");
+    request_id_ = request->Find("Request-Id").value_or("");
+    if (request_id_.empty()) return Reject(400, "Request-Id is missing");
     auto place = static_cast<std::size_t>(known->second);
     // Workers turn away what doesn't fit together, and that would look like a fault of theirs.
     sandstand::Effect effect = acceptor_.options_.effects[place];
@@ -162,7 +175,8 @@
       return Reject(400, "method, key or body do not go with the class");
     }
     // Guards against a second call under one id: both would be one request to a worker.
-    if (!acceptor_.open_ids_.insert(id_).second) return Reject(409, "a call with this Request-Id is open");
+    if (!acceptor_.open_ids_.insert(request_id_).second)
+      return Reject(409, "a call with this Request-Id is open");
     Arrival arrival;
     arrival.call_class = known->second;
     Micros patience = acceptor_.options_.patience[place];
@@ -186,15 +200,17 @@
     state_ = State::kWaiting;
     timer_.Clear();
     call_ = acceptor_.gateway_.NewCall();
+    acceptor_.room_.Called(id);
+    acceptor_.Trim();
     acceptor_.gateway_.Arrive(call_, std::move(arrival), *this);
   }
 
-  void CloseCall() { acceptor_.open_ids_.erase(id_); }
+  void CloseCall() { acceptor_.open_ids_.erase(request_id_); }
 
   void Answering() {
     if (state_ == State::kWaiting) CloseCall();
     state_ = State::kWriting;
-    if (acceptor_.draining_) keep_ = false;
+    if (acceptor_.draining_ || acceptor_.room_.LastAnswer(id)) keep_ = false;
     timer_.Set(kWriteTime, [this] { acceptor_.Drop(*this); });
   }
 
@@ -215,9 +231,9 @@
   Timer timer_;
   State state_ = State::kReading;
   CallId call_ = 0;
-  std::string id_;     // of the call
-  Micros began_;       // when the first bytes of the request were here, or the connection
-  bool fresh_ = true;  // no request has come whole
+  std::string request_id_;  // of the call
+  Micros began_;            // when the first bytes of the request were here, or the connection
+  bool fresh_ = true;       // no request has come whole
   bool keep_ = true;
 };
 
@@ -228,8 +244,11 @@
       budget_(budget),
       options_(std::move(options)),
       waste_(kWaste),
-      pause_(loop) {
-  budget_.SetSpare(Budget::Side::kClients, [this] { return DropOneIdle(); });
+      pause_(loop),
+      room_(options_.places) {
+  budget_.SetSpare(Budget::Side::kClients, [this] {
+    return room_.MakeRoom([this](limits::ClientRoom::Id id) { return DropIfUnused(id); });
+  });
   budget_.SetFreed([this] {
     if (waiting_ && listener_) loop_.Again(token_, EPOLLIN);
   });
@@ -288,12 +307,13 @@
       pause_.Set(kRetryAccept, [this] { Accept(); });
       return;
     }
-    auto conn = std::make_unique<Conn>(*this);
+    auto conn = std::make_unique<Conn>(*this, ++ids_);
     if (!conn->channel.Adopt(std::move(fd))) continue;
     budget_.Take();
-    conns_.push_back(std::move(conn));
-    conns_.back()->place = std::prev(conns_.end());
-    conns_.back()->Begin();
+    Conn& begun = *conn;
+    conns_[begun.id] = std::move(conn);
+    room_.Opened(begun.id);
+    begun.Begin();
   }
 }
 
@@ -302,20 +322,17 @@
   return ::poll(&listener, 1, 0) > 0;
 }
 
-// Closes the longest unused connection.
-bool Acceptor::DropOneIdle() {
-  for (auto& conn : conns_) {
-    if (!conn->idle()) continue;
-    std::size_t before = conns_.size();
-    conn->Leave();
-    return conns_.size() < before;
-  }
-  return false;
+bool Acceptor::DropIfUnused(limits::ClientRoom::Id id) { return conns_.at(id)->Leave(); }
+
+void Acceptor::Trim() {
+  room_.Trim([this](limits::ClientRoom::Id id) { return DropIfUnused(id); });
 }
 
 void Acceptor::Drop(Conn& conn) {
-  std::unique_ptr<Conn> owned = std::move(*conn.place);
-  conns_.erase(conn.place);
+  auto it = conns_.find(conn.id);
+  std::unique_ptr<Conn> owned = std::move(it->second);
+  conns_.erase(it);
+  room_.Closed(owned->id);
   owned->End();
   budget_.Give();
   loop_.Dispose(std::move(owned));
@@ -331,7 +348,7 @@
   listener_.Reset();
   // One that leaves may take others with it; those that went are freed only after this round.
   std::vector<Conn*> all;
-  for (auto& conn : conns_) all.push_back(conn.get());
+  for (auto& [id, conn] : conns_) all.push_back(conn.get());
   for (Conn* conn : all) {
     if (conn->channel.open() && conn->idle()) conn->Leave();
   }
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -2,13 +2,13 @@
 #ifndef DAPPLETILLER_NET_ACCEPTOR_HPP_
 #define DAPPLETILLER_NET_ACCEPTOR_HPP_
 
-#include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
+#include "limits/client_room.hpp"
 #include "net/budget.hpp"
 #include "net/channel.hpp"
 #include "net/gateway.hpp"
@@ -22,6 +22,7 @@
   std::vector<std::string> classes;        // by their places in the settings
   std::vector<Micros> patience;            // of a class: no client waits longer
   std::vector<sandstand::Effect> effects;  // of a class: which method and key go with it
+  std::size_t places = 0;                  // connections that clients hold for calls, at most
 };
 
 class Acceptor final : private EventSink {
@@ -36,15 +37,18 @@
   // No more connections; what is open ends with its answer, what is idle ends now.
   void Close();
   std::size_t connections() const { return conns_.size(); }
+  // Of the connections that clients may hold for calls; the surplus goes as soon as it is unused.
+  void Resize(std::size_t places) { room_.Resize(places); }
 
  private:
   class Conn;
-  using ConnList = std::list<std::unique_ptr<Conn>>;
+  using ConnMap = std::unordered_map<limits::ClientRoom::Id, std::unique_ptr<Conn>>;
 
   void OnReady(std::uint32_t events) override;
   void Accept();
   bool Pending() const;
-  bool DropOneIdle();
+  bool DropIfUnused(limits::ClientRoom::Id id);
+  void Trim();
   void Drop(Conn& conn);
 
   Loop& loop_;
@@ -59,7 +63,9 @@
   Loop::Token token_ = 0;
   Timer pause_;  // after accept failed for want of descriptors
   std::uint16_t port_ = 0;
-  ConnList conns_;  // the longest unused first
+  ConnMap conns_;
+  limits::ClientRoom room_;
+  limits::ClientRoom::Id ids_ = 0;
   bool draining_ = false;
   bool closed_ = false;
   bool waiting_ = false;  // connections wait in the kernel
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -125,7 +125,7 @@
 class Rig {
  public:
   explicit Rig(const sandstand::Settings& rules = Rules(), Micros idle = kBound, std::size_t connections = 64,
-               std::size_t kept = 8)
+               std::size_t kept = 8, std::size_t places = 64)
       : gateway(loop, log, rules),
         budget(connections, kept),
         workers(loop, log, gateway, budget, {kBound, idle}),
@@ -133,7 +133,8 @@
                  {{kLoopback, 0},
                   {"check", "pay", "open"},
                   {kBound, kBound, kBound},
-                  {sandstand::Effect::kSafe, sandstand::Effect::kUnsafe, sandstand::Effect::kKeyed}}),
+                  {sandstand::Effect::kSafe, sandstand::Effect::kUnsafe, sandstand::Effect::kKeyed},
+                  places}),
         discovery(loop, log, gateway,
                   {registry.endpoint(), "discovery", {{"here"}, {"plain"}}, 41, rules.ask_within}) {
     gateway.Connect(workers, discovery);
