Send a short that would be refused to the least busy reserved server

Change: where the server in turn can't serve a short in time, the least busy reserved one of the own zone is asked for before the short is refused. With every server reserved shorts wait as before.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -534,6 +534,22 @@
     return {};
   }
 
+  // Where a short goes that would be refused otherwise, since those in turn, say full ones, can't serve it in
+  // time: to the least busy of the reserved. The design leaves open what happens when all that could serve
+  // are reserved.
+  Pick PickReserved(const Request& request) {
+    Pick best;
+    int looks = kLook;
+    for (auto it = servers_.begin(); it != servers_.end() && looks > 0; ++it) {
+      Server& server = it->second;
+      if (!server.reserved || server.entry.zone != set_.zone || !Sendable(server)) continue;
+      --looks;
+      double wait = ExpectedWait(server);
+      if (Usable(server, request) && (best.server == nullptr || wait < best.wait)) best = {&server, wait};
+    }
+    return best;
+  }
+
   // The own zone first; when its next server keeps us waiting for more than the price of crossing (in terms
   // of the aim), another zone where the wait is less by more than that. What is usual in the own zone must
   // not count here: a zone that is crowded throughout would never let go.
@@ -872,12 +888,15 @@
     return left * kPatience * (kPatienceLeast + (1 - kPatienceLeast) * request.worth);
   }
 
-  bool TooLate(const Request& request, const Pick& pick) {
+  bool Late(const Request& request, const Pick& pick) const {
     // A long makes all that come after it wait: in a jam it must fit into the time that the jam leaves.
     double wait =
         request.is_long ? std::max(pick.wait, kLongJam * met_wait_[pick.server->entry.zone]) : pick.wait;
-    wait += surprise_;
-    if (wait <= Patience(request, ServiceTime(request.work, *pick.server))) return false;
+    return wait + surprise_ > Patience(request, ServiceTime(request.work, *pick.server));
+  }
+
+  bool TooLate(const Request& request, const Pick& pick) {
+    if (!Late(request, pick)) return false;
     // With all refused no answer would tell that the jam has gone: a refusal counts against what was learned.
     StepMedian(met_wait_[pick.server->entry.zone], 0, *pick.server, kForget);
     StepMedian(surprise_, 0, *pick.server, kForget);
@@ -894,11 +913,14 @@
     Pick pick = PickServer(request);
     if (pick.server == nullptr) {
       Buffer(request);  // every server is reserved, cold or failing: wait with the longs, and ahead of them
-    } else if (TooLate(request, pick)) {
-      RefuseIt(request, pick.wait);
-    } else {
-      SendTo(request, *pick.server);
+      return;
+    }
+    if (TooLate(request, pick)) {
+      Pick other = PickReserved(request);
+      if (other.server == nullptr || Late(request, other)) return RefuseIt(request, pick.wait);
+      pick = other;
     }
+    SendTo(request, *pick.server);
   }
 
   // ---- Alarms ----
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -169,6 +169,25 @@
   }
 }
 
+// Guards against shorts refused, or kept waiting, while the servers that could serve them are merely
+// reserved: seen where several servers drain and turn work away before the list tells of it.
+TEST(Mechanism, AShortThatNoServerInTurnCanServeGoesToTheLeastBusyReservedOne) {
+  Gateway g(BasicSettings());
+  g.List({Entry(1), Entry(2), Entry(3)});
+  g.Train();
+  g.Arrive(1, 400 * kMs);
+  g.Arrive(2, 90 * kMs);
+  ServerId busy = g.ServerOf(1);
+  ServerId less = g.ServerOf(2);
+  ASSERT_NE(busy, less);
+  g.Arrive(3, kShort);  // the third server turns it away: its queue is full
+  EXPECT_EQ(g.ServerOf(3), 6 - busy - less);
+  g.End(3, Outcome::kFull, 0, kMs);
+  g.Arrive(4, kShort);
+  EXPECT_EQ(g.ServerOf(4), less);
+  EXPECT_EQ(g.Count<Refuse>(), 0);
+}
+
 // Guards against: an emptied count drawing every long to a server that fails at once.
 TEST(Mechanism, AServerThatFailsFastDoesNotAttractLongs) {
   Gateway g(BasicSettings());
