Let keyed repeats use reserved workers, and send late what can't be refused

Cause: repeats looked only at servers in turn, though any reserved one of the pod would drop a repeat too; and a call that can't be refused any more was given up as too late for its aim with half of its time left.

Change: a reserved server of the pod serves where there is no other; what can't be refused is sent whatever the wait.

The test fails without either part.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -582,9 +582,13 @@
     Pick best;
     for (ServerId id : cells_[home->second.entry.cell]) {
       Server& server = servers_.at(id);
-      if (!server.in_turn || !Usable(server, request)) continue;
+      if (!Sendable(server) || !Usable(server, request)) continue;
       double wait = ExpectedWait(server);
-      if (best.server == nullptr || wait < best.wait) best = {&server, wait};
+      // A reserved one only if there is no other: without any it would fail.
+      auto worse = [&] {
+        return std::pair(best.server->reserved, best.wait) > std::pair(server.reserved, wait);
+      };
+      if (best.server == nullptr || worse()) best = {&server, wait};
     }
     return best;
   }
@@ -779,7 +783,8 @@
   void Recover(Request& request, bool may_have_run) {
     if (MayRepeat(request) && (!may_have_run || PayExtra())) {
       Pick pick = PickRepeat(request);
-      if (pick.server != nullptr && !TooLate(request, pick)) {
+      // What can't be refused any more fails instead: even a late answer is worth more than that.
+      if (pick.server != nullptr && (!MayRefuse(request) || !TooLate(request, pick))) {
         SendTo(request, *pick.server);
         return;
       }
--- a/src/limits/client_room.hpp
+++ b/src/limits/client_room.hpp
@@ -69,6 +69,7 @@
   bool MakeRoom(Micros now, const CloseOne& close);  // false: nothing that may go
   void Trim(const CloseOne& close);                  // while more rest here than the places allow
 
+  std::size_t places() const { return places_; }
   std::size_t calling() const { return calling_; }  // connections that have made a call
   std::size_t resting(Standing standing) const { return resting_[Place(standing)].size(); }
 
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -23,6 +23,7 @@
 constexpr Micros kIdleTime = 2'100'000;    // without any request
 constexpr Micros kWriteTime = 10'000'000;  // for a client to take its answer
 constexpr Micros kLinger = 1'000'000;      // for a client to read why we close
+constexpr Micros kTellEvery = 10'000'000;  // that connections were ended early
 constexpr std::size_t kWaste = 64 * 1024;  // read at once of what is thrown away
 constexpr int kHintTimes = 16;  // hints of more than this many times a class's patience are no hints
 
@@ -322,7 +323,19 @@
   return ::poll(&listener, 1, 0) > 0;
 }
 
-bool Acceptor::DropIfUnused(limits::ClientRoom::Id id) { return conns_.at(id)->Leave(); }
+bool Acceptor::DropIfUnused(limits::ClientRoom::Id id) {
+  if (!conns_.at(id)->Leave()) return false;
+  ++ended_early_;
+  // Guards against a shortage of places that nobody sees: what can't get in leaves no other trace here.
+  Micros now = loop_.Now();
+  if (told_at_ != 0 && now < told_at_ + kTellEvery) return true;
+  log_.Line(
+      "acceptor: %ld unused client connections ended early since the last such line; %zu of %zu places in "
+      "use",
+      std::exchange(ended_early_, 0), room_.calling(), room_.places());
+  told_at_ = now;
+  return true;
+}
 
 void Acceptor::Trim() {
   room_.Trim([this](limits::ClientRoom::Id id) { return DropIfUnused(id); });
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -72,6 +72,8 @@
   bool draining_ = false;
   bool closed_ = false;
   bool waiting_ = false;  // connections wait in the kernel
+  long ended_early_ = 0;  // since it was last told
+  Micros told_at_ = 0;
 };
 
 }  // namespace dappletiller
--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -305,6 +305,25 @@
   }
 }
 
+// Guards against keyed requests that fail, and are not asked again, while a server that drops their repeats
+// is merely reserved, or can answer only late.
+TEST(Repeats, AKeyedOneThatCannotBeRefusedTakesWhatThereIs) {
+  for (bool jammed : {false, true}) {
+    Gateway g(BasicSettings());
+    g.List({Entry(1, 0, 3), Entry(2, 0, 3)});
+    g.Train();
+    g.Arrive(1, kShort, kKeyedClass);
+    ServerId first = g.ServerOf(1);
+    ServerId other = 3 - first;
+    g.Arrive(2, jammed ? 2000 * kMs : 200 * kMs);
+    ASSERT_EQ(g.ServerOf(2), other);
+    g.now += 20 * kMs;
+    g.End(1, Outcome::kError, 0, 20 * kMs);
+    EXPECT_EQ(g.ServerOf(1), other) << jammed;
+    EXPECT_EQ(g.Count<Fail>(), 0);
+  }
+}
+
 // Guards against trial after trial at a server that hangs: one that lets its trial wait too is left alone.
 TEST(Stuck, AServerThatHangsGetsOneTrialAndIsLeftAlone) {
   Gateway g(BasicSettings());
