Hold a rest against what breaks on new connections, and take the idle one with least risk

Written down for each request on a connection: 11 to 12% broke on new connections, 4 to 9% after rests under 64 ms, and 22% after 64 ms and more.

Cause: the rule on rests asked only whether more than a tenth broke. The shortest rest alone went over that with what breaks anyway, and with it every longer one was given up, so that nearly every request had a new connection, where more breaks than after most rests.

Of the idle connections the one whose rest broke the fewest is taken.

What remains there are payments lost by workers that reset under a request that has begun: they must not be sent again.

--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -1,7 +1,6 @@
 #include "net/worker.hpp"
 
 #include <algorithm>
-#include <bit>
 #include <utility>
 
 namespace dappletiller {
@@ -13,8 +12,7 @@
 constexpr int kIdlePartDenominator = 5;
 
 constexpr Micros kFadeEvery = 10'000'000;
-constexpr double kBrokenPart =
-    0.1;  // of the kept ones that may break before such a rest is taken for too long
+constexpr int kLooks = 8;  // idle connections of a worker that are looked at
 
 DelegationEnd Judge(const http::Message& answer) {
   if (answer.status() == 200) return DelegationEnd::kAnswered;
@@ -148,46 +146,40 @@
   started.Send(delegation);
 }
 
-// The most recently used idle connection that still stands.
+// Of the idle connections that still stand the one whose rest broke the fewest requests so far, and of equals
+// the most recently used. Guards against requests that cross a worker's close, be it right after its answer
+// or after long.
 std::unique_ptr<WorkerLinks::Link> WorkerLinks::TakeIdle(Pool& pool) {
+  Micros now = loop_.Now();
   while (!pool.idle.empty()) {
-    std::unique_ptr<Link> link = std::move(pool.idle.back());
-    pool.idle.pop_back();
+    auto taken = std::prev(pool.idle.end());
+    double least = rests_.Risk(now - (*taken)->parked_at);
+    int looks = kLooks;
+    for (auto it = taken; least > 0 && it != pool.idle.begin() && looks > 0; --looks) {
+      double risk = rests_.Risk(now - (*--it)->parked_at);
+      if (risk >= least) continue;
+      least = risk;
+      taken = it;
+    }
+    std::unique_ptr<Link> link = std::move(*taken);
+    pool.idle.erase(taken);
     link->timer.Clear();
-    link->rest = loop_.Now() - link->parked_at;
+    link->rest = now - link->parked_at;
     // Guards against writing into a connection whose end is known to the kernel but not yet to us, or that a
     // worker has most likely left by now without our being told.
-    if (!link->channel.Stale() && Trusted(link->rest)) return link;
+    if (!link->channel.Stale() && rests_.Trusted(link->rest)) return link;
     Discard(std::move(link));
   }
   return nullptr;
 }
 
-std::size_t WorkerLinks::Place(Micros rest) {
-  return std::min<std::size_t>(std::bit_width(static_cast<std::uint64_t>(rest) / 1000), 31);
-}
-
-// A rest is too long if it, or a shorter one, broke too many.
-bool WorkerLinks::Trusted(Micros rest) const {
-  return std::none_of(rested_.begin(), rested_.begin() + static_cast<std::ptrdiff_t>(Place(rest)) + 1,
-                      [](const Rested& r) { return r.broken > 1 + kBrokenPart * r.kept; });
-}
-
 void WorkerLinks::NoteRest(Micros rest, bool kept) {
-  if (rest < 0) return;
-  Rested& rested = rested_[Place(rest)];
-  (kept ? rested.kept : rested.broken) += 1;
+  rests_.Note(rest, kept);
   if (!kept && !fade_.set()) fade_.Set(kFadeEvery, [this] { Fade(); });
 }
 
 void WorkerLinks::Fade() {
-  bool any = false;
-  for (Rested& r : rested_) {
-    r.kept /= 2;
-    r.broken /= 2;
-    any = any || r.broken > kBrokenPart;
-  }
-  if (any) fade_.Set(kFadeEvery, [this] { Fade(); });
+  if (rests_.Fade()) fade_.Set(kFadeEvery, [this] { Fade(); });
 }
 
 bool WorkerLinks::DropOneIdle() {
--- a/src/net/worker.hpp
+++ b/src/net/worker.hpp
@@ -2,11 +2,11 @@
 #ifndef DAPPLETILLER_NET_WORKER_HPP_
 #define DAPPLETILLER_NET_WORKER_HPP_
 
-#include <array>
 #include <list>
 #include <memory>
 #include <unordered_map>
 
+#include "limits/rest_record.hpp"
 #include "net/budget.hpp"
 #include "net/channel.hpp"
 #include "net/gateway.hpp"
@@ -43,14 +43,6 @@
     LinkList idle;  // the most recently used last
   };
 
-  // How connections fared that had rested for about as long (by doublings): workers may close them long
-  // before the time in the settings, and a request that meets that counts as one that may have run.
-  struct Rested {
-    double kept = 0;
-    double broken = 0;
-  };
-  static std::size_t Place(Micros rest);
-  bool Trusted(Micros rest) const;
   void NoteRest(Micros rest, bool kept);
   void Fade();
 
@@ -69,7 +61,7 @@
   std::unordered_map<WorkerId, Pool> pools_;
   std::unordered_map<DelegationKey, std::unique_ptr<Link>, DelegationKeyHash> busy_;
   std::size_t count_ = 0;
-  std::array<Rested, 32> rested_;
+  limits::RestRecord rests_;
   Timer fade_;  // of what is known of rests, so that they are tried again
 };
 
