Give a cold worker its share of all its cores, not of one

Their allowance is a part of what they can do at the worst warming, but ColdCapacity counted size / pace, which for a machine of four cores is one core's work. Before the paces were learned well they stood near 1, which hid it. Workers warm by the work they are given, so the small allowance also kept them cold.

Ruled out: longs (a cold worker gets none), the lump (under a tenth of the allowance for a usual call), the parts of restarted proxies.

Now: size^2 / pace, the size being how many requests a worker runs side by side (capacity_hint).

--- a/include/sandstand/balancer.hpp
+++ b/include/sandstand/balancer.hpp
@@ -91,7 +91,7 @@
   int kind = 0;
   int cell = 0;
   ServerState state = ServerState::kReady;
-  double size = 1;        // nominal size, comparable between servers
+  double size = 1;        // nominal size: how many requests of usual pace it runs side by side
   Micros started_at = 0;  // when it last started; 0: long ago
 };
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -442,11 +442,13 @@
     return server.entry.started_at > 0 && now_ < server.entry.started_at + set_.cold_time;
   }
 
-  // What one core of its size does, at the worst warming the settings allow, in work a microsecond.
+  // What it does at the worst warming the settings allow, in work a microsecond: its size tells how many
+  // requests run there side by side, each at the learned pace.
   double ColdCapacity(const Server& server) const {
     double age = std::max<Micros>(0, now_ - server.entry.started_at);
     double part = set_.cold_time > 0 ? std::min(1.0, age / set_.cold_time) : 1;
-    return (set_.cold_share + (1 - set_.cold_share) * part) * server.entry.size / Pace(server);
+    double size = server.entry.size;
+    return (set_.cold_share + (1 - set_.cold_share) * part) * size * size / Pace(server);
   }
 
   // This gateway's part of what all together may send: with every gateway at its part the sum stays safe.
