Leave a silent zone together, take it for cold when it is back, ask for the list at once

Only failed dials told of a zone, and each proxy has 27 workers in it with connections that stay open and quiet; - its own proxies never left it: the own zone was always asked first, longs knew no other; - a zone comes back cold 1 to 2 s before the list says so, and each proxy went back at full rate after one answer: up to 5 workers pushed over (sent 3.8 to 4.0 times what they could do in 2 s), none of it a broken rule since nobody was told; - proxies killed with it started with the old list and first asked discovery after 4.4 s at the median, 7.9 s at most. Ruled out: late watches (all 100 have a change within 0.15 s), the back-off (no call failed there).

At fault: NoteConnectFailed (dials only), PickServer and ReleaseBuffered (own zone regardless), Cold (the list only), kAskSpread 0.8 of ask_within. Now: what is overdue speaks for a zone as a failed dial does; a silent zone gets one safe short at a time, all else goes where something is heard; after a silence its workers count as cold until the list can tell (a quarter of ask_within); the first call falls into a tenth of ask_within, and a repeated one keeps within ask_within (it could exceed it by a fifth). A cold worker's first turn is drawn when it is first looked at, so that it is spread after a silence as well. Refusals are told by one line a second of the gateway, with all else that passes, no longer by the module.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -47,19 +47,18 @@
 constexpr double kExtraBurst = 10;       // and how many may be saved up
 constexpr double kHoldAfterFailure = 0.2;  // of the shortest aim: first hold after a failure; doubles
 constexpr int kHoldDoublings = 6;
-constexpr int kZoneFailures = 4;     // failed connections in a row, across a zone, that speak for its link
-constexpr double kColdFill = 0.3;    // of the work that would push a cold server over, all gateways together
-constexpr double kColdLump = 0.15;   // of that budget in one request, at most
-constexpr double kAskSpread = 0.8;   // first subscription falls into this part of ask_within
-constexpr double kAskBackoff = 0.1;  // first wait after a failed call, of ask_within; doubles up to all of it
-constexpr double kQuotaBurst = 2;    // seconds of its quota that a tenant may use at once
+constexpr int kZoneFailures = 4;    // failures in a row, across a zone, that speak for its link
+constexpr double kUntold = 0.25;    // part of ask_within in which the list may not yet tell of a restart
+constexpr double kColdFill = 0.3;   // of the work that would push a cold server over, all gateways together
+constexpr double kColdLump = 0.15;  // of that budget in one request, at most
+constexpr double kAskSpread =
+    0.1;                           // of ask_within: before the first call, and after one that failed; doubles
+constexpr double kQuotaBurst = 2;  // seconds of its quota that a tenant may use at once
 constexpr double kQuotaSlack = 1.3;  // chance at one gateway must not look like a tenant's excess
 constexpr double kSecond = 1e6;
-constexpr double kRateSeconds = 5;         // over which the rate of arrivals here is taken
-constexpr double kCrossWeight = 2;         // times the price of crossing, as a part of the aim, to be saved
-constexpr Micros kTellEvery = 10'000'000;  // refusals are told to on-call staff at most this often
-constexpr double kCutoffEvery = kSecond;   // how often the cutoff is set anew
-constexpr double kCutoffSamples = 50;      // hints needed before anything is called long
+constexpr double kRateSeconds = 5;     // over which the rate of arrivals here is taken
+constexpr double kCrossWeight = 2;     // times the price of crossing, as a part of the aim, to be saved
+constexpr double kCutoffSamples = 50;  // hints needed before anything is called long
 
 using AttemptRef = std::tuple<Micros, RequestId, int>;  // sent at, request, attempt
 
@@ -77,9 +76,22 @@
   bool trial_out = false;  // a request is out there that shall tell whether it still answers
   int failures = 0;        // in a row
   Micros held_until = 0;
+  Micros down_at = 0;    // when it last could not be reached, twice in a row
   Micros cold_next = 0;  // when its allowance permits another request
 };
 
+using Turns = std::set<std::pair<double, ServerId>>;
+
+struct Zone {
+  Turns rotation;       // ready and unreserved servers by turn
+  Turns idle;           // of these, the ones that hold nothing of ours
+  double turn = 0;      // how far the rotation has come
+  double met_wait = 0;  // median wait of our answers
+  int failures = 0;     // in a row, with no answer from the zone
+  Micros held_until = 0;
+  Micros back = 0;  // when it was heard again after a silence
+};
+
 struct Attempt {
   ServerId server = 0;
   Micros sent = 0;
@@ -129,12 +141,7 @@
       shortest_aim_ = std::min<double>(shortest_aim_, c.aim);
       most_worth_ = std::max(most_worth_, c.worth);
     }
-    rotation_.resize(set_.zones);
-    idle_.resize(set_.zones);
-    zone_turn_.resize(set_.zones, 0);
-    zone_failures_.resize(set_.zones, 0);
-    zone_held_until_.resize(set_.zones, 0);
-    met_wait_.resize(set_.zones, 0);
+    zones_.resize(set_.zones);
     longest_try_.resize(set_.classes.size(), 0);
     quota_.resize(set_.tenants.size(), Quota{});
   }
@@ -152,9 +159,8 @@
 
  private:
   struct Quota {
-    double left = 0;
+    double left = std::numeric_limits<double>::infinity();  // full when first used
     Micros at = 0;
-    bool used = false;
   };
 
   double Uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
@@ -176,18 +182,10 @@
     alarms_.insert({ask_at_, Alarm::kAskList, 0});
   }
 
-  void AskList() {
-    Act(Watch{});
-    // Every call is answered; should that fail too, silence must not outlast what the rules allow.
-    AskListIn(set_.ask_within);
-  }
-
   void On(const ListUpdate& update) {
     if (update.kind == ListUpdate::Kind::kFailed) {
-      if (!set_.list_on_request) return;
-      double wait = kAskBackoff * (set_.ask_within << std::min(ask_failures_, 3));
-      ask_failures_++;
-      AskListIn(wait * (0.5 + Uniform()));
+      double wait = kAskSpread * (set_.ask_within << std::min(ask_failures_++, 3));
+      if (set_.list_on_request) AskListIn(wait * (0.2 + 0.8 * Uniform()));
       return;
     }
     if (update.kind != ListUpdate::Kind::kCached && set_.list_on_request && ask_at_ != 0) {
@@ -230,11 +228,8 @@
     server.wait_seen = 0;
     server.failures = 0;
     server.held_until = 0;
-    // A random first turn: gateways hear of a server together and must not all open with it. One that has
-    // just started itself knows no usual request yet and goes by the largest that a cold server may get.
-    double usual = hints_ < kCutoffSamples ? ColdLump(server) : std::min(mean_work_, ColdLump(server));
-    server.turn = zone_turn_[entry.zone] + Uniform() * ServiceTime(mean_work_, server);
-    server.cold_next = now_ + static_cast<Micros>(Uniform() * usual / ColdRate(server));
+    // A random first turn: gateways hear of a server together and must not all open with it.
+    server.turn = zones_[entry.zone].turn + Uniform() * ServiceTime(mean_work_, server);
   }
 
   bool Sendable(const Server& server) const { return server.entry.state == ServerState::kReady; }
@@ -244,15 +239,15 @@
     if (server.in_turn) TakeOut(server);
     if (!Sendable(server) || server.reserved) return;
     int zone = server.entry.zone;
-    server.turn = std::max(server.turn, zone_turn_[zone]);
-    rotation_[zone].insert({server.turn, server.entry.id});
-    if (server.out.empty()) idle_[zone].insert({server.turn, server.entry.id});
+    server.turn = std::max(server.turn, zones_[zone].turn);
+    zones_[zone].rotation.insert({server.turn, server.entry.id});
+    if (server.out.empty()) zones_[zone].idle.insert({server.turn, server.entry.id});
     server.in_turn = true;
   }
 
   void TakeOut(Server& server) {
-    rotation_[server.entry.zone].erase({server.turn, server.entry.id});
-    idle_[server.entry.zone].erase({server.turn, server.entry.id});
+    zones_[server.entry.zone].rotation.erase({server.turn, server.entry.id});
+    zones_[server.entry.zone].idle.erase({server.turn, server.entry.id});
     server.in_turn = false;
   }
 
@@ -264,7 +259,7 @@
     hints_++;
     int bin = std::clamp(static_cast<int>(2 * std::log2(std::max(work, 1.0))), 0, kBins - 1);
     bins_[bin] += work;
-    if (now_ - cutoff_at_ < kCutoffEvery || hints_ < kCutoffSamples) return;
+    if (now_ - cutoff_at_ < kSecond || hints_ < kCutoffSamples) return;
     cutoff_at_ = now_;
     double total = 0;
     for (double& b : bins_) total += (b *= kHintMemory);
@@ -294,7 +289,7 @@
   // which with time drifts to what is usual in its zone (with many gateways most of what we saw is old, and
   // to take an unseen queue for empty would fill a jam further); at least how overdue our oldest attempt is.
   double ExpectedWait(const Server& server) const {
-    double usual = met_wait_[server.entry.zone];
+    double usual = zones_[server.entry.zone].met_wait;
     double moved = kDrain * (now_ - server.wait_at);
     double wait = server.wait_seen > usual ? std::max(usual, server.wait_seen - moved)
                                            : std::min(usual, server.wait_seen + moved);
@@ -321,12 +316,14 @@
 
   void NoteEnd(Server& server, const Request& request, const Attempt& attempt, Outcome outcome,
                Micros latency) {
+    Zone& zone = zones_[server.entry.zone];
     double service = ServiceTime(request.work, server);
     double waited = latency - service;
     switch (outcome) {
       case Outcome::kServed:
-        zone_failures_[server.entry.zone] = 0;
-        zone_held_until_[server.entry.zone] = 0;
+        if (zone.failures >= kZoneFailures) zone.back = now_;
+        zone.failures = 0;
+        zone.held_until = 0;
         server.failures = 0;
         server.held_until = 0;
         server.heard = std::max(server.heard, attempt.sent);
@@ -337,7 +334,7 @@
           double step = std::max(kPaceStep, 1.0 / ++samples);
           pace *= std::exp(ratio < pace ? -step * (1 - kPaceQuantile) : step * kPaceQuantile);
         }
-        StepMedian(met_wait_[server.entry.zone], waited, server, 1);
+        StepMedian(zone.met_wait, waited, server, 1);
         StepMedian(surprise_, waited - attempt.expected_wait, server, 1);
         if (attempt.sent >= server.wait_at) {
           server.wait_seen = std::max(0.0, waited);
@@ -348,21 +345,19 @@
       case Outcome::kCancelled:
         // Neither this nor any sent later was answered. To take that for a queue would outlive the trouble.
         if (server.heard > attempt.sent) break;
-        if (outcome == Outcome::kTimeout || waited > service + met_wait_[server.entry.zone])
-          NoteFailure(server);
+        if (outcome == Outcome::kTimeout || waited > service + zone.met_wait) NoteFailure(server);
         break;
       case Outcome::kNotSent:
         break;
       case Outcome::kFull:
         // Its queue is full: as long as we care to know.
-        StepMedian(met_wait_[server.entry.zone], shortest_aim_, server, 1);
+        StepMedian(zone.met_wait, shortest_aim_, server, 1);
         server.wait_seen = std::max(ExpectedWait(server), shortest_aim_);
         server.wait_at = now_;
         break;
       case Outcome::kConnectFailed:
-        NoteConnectFailed(server.entry.zone);
-        NoteFailure(server);
-        break;
+        NoteZoneFailure(server.entry.zone);
+        [[fallthrough]];
       default:
         NoteFailure(server);
     }
@@ -391,6 +386,7 @@
   // wait too is left alone.
   void Doubt(Request& request, Attempt& attempt, Server& server) {
     attempt.doubted = true;
+    NoteZoneFailure(server.entry.zone);
     server.work_out -= request.work;
     if (attempt.reserves) server.reserved = attempt.reserves = false;
     if (attempt.trial) NoteFailure(server);
@@ -422,13 +418,30 @@
     server.held_until = now_ + static_cast<Micros>(span);
   }
 
-  // Guards against: a zone that is cut off has all its servers tried one by one, a time-out each.
-  void NoteConnectFailed(int zone) {
-    zone_failures_[zone]++;
-    double span = HoldSpan(zone_failures_[zone] - kZoneFailures);
-    if (zone_failures_[zone] == kZoneFailures)
-      Say("zone " + std::to_string(zone) + ": connections keep failing");
-    if (zone_failures_[zone] >= kZoneFailures) zone_held_until_[zone] = now_ + span;
+  // Guards against a zone that is cut off having all its servers tried one by one, a time-out each. What
+  // fails to connect or is overdue there, with no answer from the zone in between, speaks for its link.
+  void NoteZoneFailure(int zone) {
+    if (++zones_[zone].failures == kZoneFailures)
+      Say("zone " + std::to_string(zone) + ": nothing is heard from it");
+    if (zones_[zone].failures >= kZoneFailures) HoldZone(zone);
+  }
+
+  void HoldZone(int zone) {
+    zones_[zone].held_until = now_ + HoldSpan(std::min(zones_[zone].failures - kZoneFailures, kZoneFailures));
+  }
+
+  // The own zone, or while that is silent the first that is not.
+  int Home(const Request& request) const {
+    int zone = set_.zone;
+    for (int i = 1; i < set_.zones && !Open(zone, request); ++i) zone = (set_.zone + i) % set_.zones;
+    return Open(zone, request) ? zone : set_.zone;
+  }
+
+  // A zone that is silent gets one safe short at a time as a trial.
+  bool Open(int zone, const Request& request) const {
+    if (zones_[zone].failures < kZoneFailures) return true;
+    return now_ >= zones_[zone].held_until && !request.is_long &&
+           set_.classes[request.request_class].effect == Effect::kSafe;
   }
 
   // After failures a server gets one trial at a time until it answers.
@@ -438,14 +451,21 @@
 
   // ---- Cold starts ----
 
+  // When its process may have started: after a silence servers may be back, cold, before the list tells.
+  Micros Started(const Server& server) const {
+    Micros back = zones_[server.entry.zone].back;
+    return now_ < back + kUntold * set_.ask_within ? std::max(back, server.entry.started_at)
+                                                   : server.entry.started_at;
+  }
+
   bool Cold(const Server& server) const {
-    return server.entry.started_at > 0 && now_ < server.entry.started_at + set_.cold_time;
+    return Started(server) > 0 && now_ < Started(server) + set_.cold_time;
   }
 
   // What it does at the worst warming the settings allow, in work a microsecond: its size tells how many
   // requests run there side by side, each at the learned pace.
   double ColdCapacity(const Server& server) const {
-    double age = std::max<Micros>(0, now_ - server.entry.started_at);
+    double age = std::max<Micros>(0, now_ - Started(server));
     double part = set_.cold_time > 0 ? std::min(1.0, age / set_.cold_time) : 1;
     double size = server.entry.size;
     return (set_.cold_share + (1 - set_.cold_share) * part) * size * size / Pace(server);
@@ -458,8 +478,14 @@
     return std::max(1e-9, kColdFill * set_.fall_multiple * ColdCapacity(server) / sharing);
   }
 
-  bool ColdAllows(const Server& server, const Request& request) const {
+  bool ColdAllows(Server& server, const Request& request) {
     if (!Cold(server)) return true;
+    if (server.cold_next < Started(server)) {
+      // At random, or all gateways would open with it. One that has just started itself knows no usual
+      // request yet and goes by the largest that a cold server may get.
+      double usual = hints_ < kCutoffSamples ? ColdLump(server) : std::min(mean_work_, ColdLump(server));
+      server.cold_next = now_ + static_cast<Micros>(Uniform() * usual / ColdRate(server));
+    }
     if (server.entry.zone != set_.zone || request.is_long || now_ < server.cold_next) return false;
     return request.work <= ColdLump(server);
   }
@@ -470,13 +496,12 @@
 
   // ---- Rotation ----
 
-  using Turns = std::set<std::pair<double, ServerId>>;
   struct Pick {
     Server* server = nullptr;
     double wait = 0;
   };
 
-  bool Usable(const Server& server, const Request& request) const {
+  bool Usable(Server& server, const Request& request) {
     if (Barred(server) || !ColdAllows(server, request) || Tried(request, server.entry.id)) return false;
     bool trial =
         !server.trial_out && !request.is_long && set_.classes[request.request_class].effect == Effect::kSafe;
@@ -485,7 +510,7 @@
 
   // A server whose queue keeps our work waiting more than is usual is passed over until that has drained.
   bool Held(const Server& server, double wait) const {
-    return wait > std::max(met_wait_[server.entry.zone], ServiceTime(mean_work_, server));
+    return wait > std::max(zones_[server.entry.zone].met_wait, ServiceTime(mean_work_, server));
   }
 
   static bool Tried(const Request& request, ServerId id) {
@@ -496,7 +521,7 @@
   // Takes the next server in turn that is not held: its expected wait is no more than usual. A server passed
   // over loses its turn. When all that are looked at are held, the one with the least wait has to do.
   Pick NextInTurn(int zone, const Request& request) {
-    Turns& turns = rotation_[zone];
+    Turns& turns = zones_[zone].rotation;
     Pick best;
     int looks = std::min<int>(kLook, static_cast<int>(turns.size()));
     for (int i = 0; i < looks; ++i) {
@@ -506,7 +531,7 @@
         if (!Held(server, wait)) return {&server, wait};
         if (best.server == nullptr || wait < best.wait) best = {&server, wait};
       }
-      zone_turn_[zone] = std::max(zone_turn_[zone], server.turn);
+      zones_[zone].turn = std::max(zones_[zone].turn, server.turn);
       TakeOut(server);
       server.turn += ServiceTime(mean_work_, server);
       Place(server);
@@ -520,7 +545,7 @@
   Pick NextIdle(int zone, const Request& request) {
     Pick best;
     double least = std::numeric_limits<double>::infinity();
-    for (const auto& [turn, id] : idle_[zone]) {
+    for (const auto& [turn, id] : zones_[zone].idle) {
       Server& server = servers_.at(id);
       double wait = ExpectedWait(server);
       double done = wait + ServiceTime(request.work, server);
@@ -537,11 +562,8 @@
   // are reserved.
   Pick PickReserved(const Request& request) {
     Pick best;
-    int looks = kLook;
-    for (auto it = servers_.begin(); it != servers_.end() && looks > 0; ++it) {
-      Server& server = it->second;
+    for (auto& [id, server] : servers_) {
       if (!server.reserved || server.entry.zone != set_.zone || !Sendable(server)) continue;
-      --looks;
       double wait = ExpectedWait(server);
       if (Usable(server, request) && (best.server == nullptr || wait < best.wait)) best = {&server, wait};
     }
@@ -552,11 +574,12 @@
   // of the aim), another zone where the wait is less by more than that. What is usual in the own zone must
   // not count here: a zone that is crowded throughout would never let go.
   Pick PickServer(const Request& request) {
-    Pick best = NextInTurn(set_.zone, request);
+    int home = Home(request);
+    Pick best = NextInTurn(home, request);
     double price = kCrossWeight * set_.cross_zone_price * set_.classes[request.request_class].aim;
     if (best.server != nullptr && best.wait <= price) return best;
     for (int z = 0; z < set_.zones; ++z) {
-      if (z == set_.zone || now_ < zone_held_until_[z]) continue;
+      if (z == home || !Open(z, request)) continue;
       Pick other = NextInTurn(z, request);
       if (other.server == nullptr) continue;
       other.wait += price;
@@ -609,7 +632,7 @@
   void ReleaseBuffered() {
     while (!buffer_.empty()) {
       Request& request = requests_.at(buffer_.begin()->second);
-      Pick pick = NextIdle(set_.zone, request);
+      Pick pick = NextIdle(Home(request), request);
       if (pick.server == nullptr && request.aged < cutoff_) pick = PickServer(request);
       if (pick.server == nullptr) return;
       Unbuffer(request);
@@ -625,10 +648,7 @@
   void Age(Request& request) {
     if (!request.buffered) return;
     Unbuffer(request);
-    if (MayRefuse(request) && now_ > request.aim_at) {
-      RefuseIt(request, 0);
-      return;
-    }
+    if (MayRefuse(request) && now_ > request.aim_at) return RefuseIt(request, 0);
     request.aged /= kAgeFactor;
     Buffer(request);
     ReleaseBuffered();
@@ -654,8 +674,9 @@
     if (attempt.trial) server.trial_out = true;
     request.attempts.push_back(attempt);
     TakeOut(server);
-    zone_turn_[server.entry.zone] = std::max(zone_turn_[server.entry.zone], server.turn);
+    zones_[server.entry.zone].turn = std::max(zones_[server.entry.zone].turn, server.turn);
     server.turn += ServiceTime(request.work, server);
+    if (zones_[server.entry.zone].failures >= kZoneFailures) HoldZone(server.entry.zone);
     server.out.insert({now_, request.id, number});
     server.work_out += request.work;
     if (request.is_long) server.reserved = true;
@@ -703,16 +724,9 @@
   }
 
   void RefuseIt(Request& request, double advice) {
-    refused_++;
-    if (now_ >= told_at_ + kTellEvery) {
-      Say(std::to_string(refused_) + " refused since the last such line; usual wait in the own zone " +
-          std::to_string(std::lround(met_wait_[set_.zone] / 1000)) + " ms");
-      told_at_ = now_;
-      refused_ = 0;
-    }
     Micros after = 0;
     if (set_.advise_retry) {
-      double span = std::max(advice, met_wait_[set_.zone]) * (1 + Uniform());
+      double span = std::max(advice, zones_[set_.zone].met_wait) * (1 + Uniform());
       after = std::min(set_.max_retry_after, static_cast<Micros>(span));
     }
     Act(Refuse{request.id, after});
@@ -870,8 +884,6 @@
     Quota& q = quota_[tenant];
     double refill = kQuotaSlack * std::max(t.quota_per_s / set_.gateways, t.portion * rate_);
     double most = std::max(1.0, kQuotaBurst * refill);
-    if (!q.used) q.left = most;
-    q.used = true;
     q.left = std::min(most, q.left + refill * (now_ - q.at) / kSecond);
     q.at = now_;
     if (q.left < 1) return true;
@@ -893,15 +905,15 @@
 
   bool Late(const Request& request, const Pick& pick) const {
     // A long makes all that come after it wait: in a jam it must fit into the time that the jam leaves.
-    double wait =
-        request.is_long ? std::max(pick.wait, kLongJam * met_wait_[pick.server->entry.zone]) : pick.wait;
+    double wait = request.is_long ? std::max(pick.wait, kLongJam * zones_[pick.server->entry.zone].met_wait)
+                                  : pick.wait;
     return wait + surprise_ > Patience(request, ServiceTime(request.work, *pick.server));
   }
 
   bool TooLate(const Request& request, const Pick& pick) {
     if (!Late(request, pick)) return false;
     // With all refused no answer would tell that the jam has gone: a refusal counts against what was learned.
-    StepMedian(met_wait_[pick.server->entry.zone], 0, *pick.server, kForget);
+    StepMedian(zones_[pick.server->entry.zone].met_wait, 0, *pick.server, kForget);
     StepMedian(surprise_, 0, *pick.server, kForget);
     return true;
   }
@@ -933,7 +945,9 @@
       auto [at, alarm, id] = *alarms_.begin();
       alarms_.erase(alarms_.begin());
       if (alarm == Alarm::kAskList) {
-        AskList();
+        Act(Watch{});
+        // Every call is answered; should that fail too, silence must not outlast what the rules allow.
+        AskListIn(set_.ask_within);
         continue;
       }
       auto it = requests_.find(id);
@@ -971,11 +985,7 @@
 
   std::map<ServerId, Server> servers_;
   std::map<int, std::set<ServerId>> cells_;
-  std::vector<Turns> rotation_;     // a zone: ready and unreserved servers by turn
-  std::vector<Turns> idle_;         // of these, the ones that hold nothing of ours
-  std::vector<double> zone_turn_;   // how far each zone's rotation has come
-  std::vector<int> zone_failures_;  // a zone: failed connections in a row
-  std::vector<Micros> zone_held_until_;
+  std::vector<Zone> zones_;
   Micros ask_at_ = 0;
   int ask_failures_ = 0;
 
@@ -985,7 +995,6 @@
   double cutoff_ = std::numeric_limits<double>::infinity();
   Micros cutoff_at_ = 0;
   std::map<int, std::pair<double, int>> pace_;  // a kind: service time = work x pace / size; samples
-  std::vector<double> met_wait_;                // a zone: median wait of our answers
   double tail_ = 2;                             // quantile of latency over what was expected
   double surprise_ = 0;                         // median by which answers waited longer than expected
 
@@ -993,8 +1002,6 @@
   std::set<std::pair<double, RequestId>> buffer_;
   std::set<AlarmRef> alarms_;
   Micros wake_at_ = -1;
-  int refused_ = 0;
-  Micros told_at_ = -kTellEvery;
   double extra_ = kExtraBurst;
   std::vector<Micros> longest_try_;
   std::vector<Quota> quota_;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -106,6 +106,7 @@
   if (watch && !whole_) {
     target += "?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait / 1000);
   }
+  ++gateway_.tally().list_calls;
   asker->Ask(target, wait + kAnswerTime);
 }
 
@@ -126,6 +127,7 @@
 void Discovery::Failed(Asker& asker, const char* why) {
   asker.asking = false;
   asker.timer.Clear();
+  ++gateway_.tally().list_failures;
   log_.Line("discovery: a %s failed: %s", asker.watch ? "watch" : "fetch", why);
   WorkerList failed;
   failed.kind = WorkerList::Kind::kFailed;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -7,6 +7,8 @@
 namespace dappletiller {
 namespace {
 
+constexpr Micros kTellEvery = 1'000'000;
+
 // The seam between the names of this code and the module's.
 sandstand::Outcome Translate(DelegationEnd end) {
   switch (end) {
@@ -59,13 +61,36 @@
 }  // namespace
 
 Gateway::Gateway(Loop& loop, Log& log, const sandstand::Settings& settings)
-    : loop_(loop), log_(log), balancer_(settings), wake_(loop) {}
+    : loop_(loop), log_(log), balancer_(settings), wake_(loop), tell_(loop) {}
 
 void Gateway::Connect(Workers& workers, ListSource& list) {
   workers_ = &workers;
   list_ = &list;
 }
 
+Tally& Gateway::tally() {
+  // On demand: a proxy at rest isn't woken to say that nothing passes.
+  if (!tell_.set()) tell_.Set(kTellEvery, [this] { TellTally(); });
+  return tally_;
+}
+
+void Gateway::TellTally() {
+  const Tally t = std::exchange(tally_, {});
+  if (t.empty()) return;
+  auto ended = [&t](DelegationEnd end) { return t.ended[static_cast<std::size_t>(end)]; };
+  log_.Line(
+      "passed: %d in, %d served, %d refused, %d failed, %d left, %zu open; sent %d, dialled %d; ended %d ok, "
+      "%d error, %d turned away, %d timed out, %d unreachable, %d reset, %d given up, %d not sent; list "
+      "calls "
+      "%d, failed %d, answered %.1f s ago",
+      t.arrived, t.served, t.refused, t.failed, t.left, open_calls_, t.sent, t.dialled,
+      ended(DelegationEnd::kAnswered), ended(DelegationEnd::kError), ended(DelegationEnd::kTurnedAway),
+      ended(DelegationEnd::kTimedOut), ended(DelegationEnd::kUnreachable), ended(DelegationEnd::kReset),
+      ended(DelegationEnd::kGivenUp), ended(DelegationEnd::kNotSent), t.list_calls, t.list_failures,
+      listed_at_ == 0 ? -1 : static_cast<double>(loop_.Now() - listed_at_) / 1e6);
+  tell_.Set(kTellEvery, [this] { TellTally(); });
+}
+
 // Carrying an action out may bring the next event at once (a connection refused on the spot). Such an event
 // waits until the actions at hand are done: the module must not be entered twice, and order counts.
 void Gateway::Deliver(sandstand::Event event) {
@@ -87,6 +112,7 @@
 }
 
 void Gateway::Arrive(CallId id, Arrival arrival, Caller& caller) {
+  ++tally().arrived;
   Call& call = calls_[id];
   call.caller = &caller;
   call.payload = std::move(arrival.payload);
@@ -122,6 +148,7 @@
 
 void Gateway::Left(CallId id) {
   if (Close(id) == nullptr) return;
+  ++tally().left;
   Deliver(sandstand::ClientLeft{id});
   ForgetIfOver(id);
 }
@@ -135,6 +162,7 @@
   sent.out = false;
   sent.limit.reset();
   --it->second.out;
+  ++tally().ended[static_cast<std::size_t>(end)];
   // The first answer of a worker is the call's; a later one comes to nobody.
   Caller* caller = end == DelegationEnd::kAnswered ? Close(key.call) : nullptr;
   sandstand::AttemptEnded event;
@@ -143,12 +171,17 @@
   event.outcome = Translate(end);
   event.latency = std::max<Micros>(0, loop_.Now() - sent.at);
   event.request_finished = it->second.caller == nullptr;
-  if (caller != nullptr) caller->Served(std::move(answer));
+  if (caller != nullptr) {
+    ++tally().served;
+    caller->Served(std::move(answer));
+  }
   Deliver(std::move(event));
   ForgetIfOver(key.call);
 }
 
 void Gateway::Learn(const WorkerList& list) {
+  if (list.kind == WorkerList::Kind::kFull || list.kind == WorkerList::Kind::kChanges)
+    listed_at_ = loop_.Now();
   sandstand::ListUpdate event;
   event.kind = Translate(list.kind);
   std::set<std::string> named;
@@ -200,6 +233,7 @@
   DelegationKey key{action.id, static_cast<int>(call.delegations.size())};
   Sent& sent = call.delegations.emplace_back();
   ++call.out;
+  ++tally().sent;
   sent.at = loop_.Now();
   if (call.caller == nullptr) return Ended(key, DelegationEnd::kNotSent, nullptr);
   if (action.timeout <= 0) return Ended(key, DelegationEnd::kTimedOut, nullptr);
@@ -213,13 +247,19 @@
 
 void Gateway::Carry(const sandstand::Refuse& action) {
   Caller* caller = Close(action.id);
-  if (caller != nullptr) caller->Overloaded(action.retry_after);
+  if (caller != nullptr) {
+    ++tally().refused;
+    caller->Overloaded(action.retry_after);
+  }
   ForgetIfOver(action.id);
 }
 
 void Gateway::Carry(const sandstand::Fail& action) {
   Caller* caller = Close(action.id);
-  if (caller != nullptr) caller->Failed();
+  if (caller != nullptr) {
+    ++tally().failed;
+    caller->Failed();
+  }
   ForgetIfOver(action.id);
 }
 
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -12,6 +12,7 @@
 
 #include "net/log.hpp"
 #include "net/loop.hpp"
+#include "net/tally.hpp"
 #include "net/types.hpp"
 #include "sandstand/balancer.hpp"
 
@@ -33,6 +34,9 @@
   // From discovery.
   void Learn(const WorkerList& list);
 
+  // Counts for the line that is logged once a second while anything passes; other parts add theirs.
+  Tally& tally();
+
   std::size_t open_calls() const { return open_calls_; }
   std::size_t table_size() const { return calls_.size(); }
   std::size_t workers_known() const { return workers_by_uid_.size(); }
@@ -65,6 +69,7 @@
   void Carry(const sandstand::Log& action);
   Caller* Close(CallId id);
   void ForgetIfOver(CallId id);
+  void TellTally();
 
   Loop& loop_;
   Log& log_;
@@ -81,6 +86,9 @@
   std::vector<CallId> over_;  // to be forgotten once all events are delivered
   Micros wake_at_ = 0;
   Timer wake_;
+  Tally tally_;
+  Timer tell_;
+  Micros listed_at_ = 0;  // when discovery last answered; 0: never
 };
 
 }  // namespace dappletiller
--- /dev/null
+++ b/src/net/tally.hpp
@@ -0,0 +1,27 @@
+// What passed through this proxy since the last line about it: plain counts, so that a whole fleet's logs can
+// be added up second by second (tools/fleet_table). Counting decides nothing.
+#ifndef DAPPLETILLER_NET_TALLY_HPP_
+#define DAPPLETILLER_NET_TALLY_HPP_
+
+#include <array>
+
+namespace dappletiller {
+
+struct Tally {
+  int arrived = 0;
+  int served = 0;
+  int refused = 0;
+  int failed = 0;
+  int left = 0;  // the client went first
+  int sent = 0;  // delegations
+  int dialled = 0;
+  int list_calls = 0;
+  int list_failures = 0;
+  std::array<int, 8> ended{};  // delegations by DelegationEnd
+
+  bool empty() const { return arrived + served + refused + failed + left + sent + list_calls == 0; }
+};
+
+}  // namespace dappletiller
+
+#endif  // DAPPLETILLER_NET_TALLY_HPP_
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -134,6 +134,7 @@
       return gateway_.Ended(delegation.key, DelegationEnd::kUnreachable, nullptr);
     }
     ++count_;
+    ++gateway_.tally().dialled;
     budget_.Take();
     Link* dialled = link.get();
     link->timer.Set(limits_.dial, [this, dialled] {
