Work with a seeded part of the workers, so that evidence and connections last

Seen: 100 proxies with 19 calls a second each over 60 workers: a proxy meets a worker 0.6 times a second.

At fault: Place, which had every ready worker in one rotation however many proxies share it. Now: each worker is given a random rank once; the lowest ranks come first in the rotation and among the idle, all others after them, so that a part that fails, drains or is cold is filled up by the rest. The mechanism is as before: shorts by turn, longs to an idle worker.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -22,13 +22,16 @@
 
 // ---- Constants: ratios, or spans made from settings ----
 
-constexpr double kLongWork = 0.5;     // requests above the cutoff carry this part of the work
-constexpr double kHintMemory = 0.98;  // of the hints seen, kept each time the cutoff is set
-constexpr double kLongLeast = 1.5;    // and the cutoff is at least this many times the mean
-constexpr double kAgeFactor = 2;      // F_u: a waiting estimate is divided by this ...
-constexpr double kAgeEvery = 0.1;     // ... every T_u, this part of the class's aim
-constexpr int kLook = 8;              // servers looked at before rotation settles for the least bad one
-constexpr double kDrain = 0.6;        // a queue we saw shrinks by this much a unit of time while we look away
+constexpr double kLongWork = 0.5;      // requests above the cutoff carry this part of the work
+constexpr double kHintMemory = 0.98;   // of the hints seen, kept each time the cutoff is set
+constexpr double kLongLeast = 1.5;     // and the cutoff is at least this many times the mean
+constexpr double kAgeFactor = 2;       // F_u: a waiting estimate is divided by this ...
+constexpr double kAgeEvery = 0.1;      // ... every T_u, this part of the class's aim
+constexpr int kLook = 8;               // servers looked at before rotation settles for the least bad one
+constexpr double kPartnersLeast = 12;  // servers of a zone that a gateway works with, at least ...
+constexpr double kSharersLeast = 15;   // ... and as many that each has this many gateways
+constexpr double kOutside = 1e15;      // beyond any turn
+constexpr double kDrain = 0.6;  // a queue we saw shrinks by this much a unit of time while we look away
 constexpr double kPaceQuantile = 0.2;    // of latency over hint: service without much waiting
 constexpr double kPaceStep = 0.03;       // learning step of that quantile, in log terms
 constexpr double kSmooth = 0.02;         // weight of a new sample in running means
@@ -64,6 +67,8 @@
 
 struct Server {
   ServerEntry entry;
+  double rank = 0;        // drawn once, out of 1: the lowest are those that this gateway usually works with
+  double key = 0;         // its place in the rotation: its turn, and all others' after those
   double turn = 0;        // place in the rotation; moves on by the time that the work given takes there
   bool in_turn = false;   // in its zone's rotation
   bool reserved = false;  // one of our longs is running there
@@ -83,6 +88,7 @@
 using Turns = std::set<std::pair<double, ServerId>>;
 
 struct Zone {
+  int servers = 0;
   Turns rotation;       // ready and unreserved servers by turn
   Turns idle;           // of these, the ones that hold nothing of ours
   double turn = 0;      // how far the rotation has come
@@ -206,6 +212,8 @@
         if (named.count(id) == 0) server.entry.state = ServerState::kGone;
       }
     }
+    for (Zone& zone : zones_) zone.servers = 0;
+    for (const auto& [id, server] : servers_) zones_[server.entry.zone].servers += Sendable(server);
     for (auto it = servers_.begin(); it != servers_.end();) {
       Server& server = it->second;
       Place(server);
@@ -229,9 +237,19 @@
     server.failures = 0;
     server.held_until = 0;
     // A random first turn: gateways hear of a server together and must not all open with it.
+    server.rank = Uniform();
     server.turn = zones_[entry.zone].turn + Uniform() * ServiceTime(mean_work_, server);
   }
 
+  double Sharing() const { return std::max(1.0, 1.0 * set_.gateways / set_.zones); }  // gateways of a zone
+
+  // How many servers of a zone a gateway works with. Guards against a large fleet in which it meets each so
+  // seldom that every call pays a handshake and nothing is known of any. Each still has many gateways, to
+  // even out chance.
+  double Partners(int zone) const {
+    return std::max(kPartnersLeast, kSharersLeast * zones_[zone].servers / Sharing());
+  }
+
   bool Sendable(const Server& server) const { return server.entry.state == ServerState::kReady; }
 
   // Keeps the rotation and the idle list in step with what the server may take.
@@ -240,14 +258,15 @@
     if (!Sendable(server) || server.reserved) return;
     int zone = server.entry.zone;
     server.turn = std::max(server.turn, zones_[zone].turn);
-    zones_[zone].rotation.insert({server.turn, server.entry.id});
-    if (server.out.empty()) zones_[zone].idle.insert({server.turn, server.entry.id});
+    server.key = server.turn + (server.rank * zones_[zone].servers < Partners(zone) ? 0 : kOutside);
+    zones_[zone].rotation.insert({server.key, server.entry.id});
+    if (server.out.empty()) zones_[zone].idle.insert({server.key, server.entry.id});
     server.in_turn = true;
   }
 
   void TakeOut(Server& server) {
-    zones_[server.entry.zone].rotation.erase({server.turn, server.entry.id});
-    zones_[server.entry.zone].idle.erase({server.turn, server.entry.id});
+    zones_[server.entry.zone].rotation.erase({server.key, server.entry.id});
+    zones_[server.entry.zone].idle.erase({server.key, server.entry.id});
     server.in_turn = false;
   }
 
@@ -410,12 +429,9 @@
 
   // Guards against servers that fail fast or hang: an empty count must not draw work to them.
   void NoteFailure(Server& server) {
-    double span = HoldSpan(server.failures);
-    server.failures++;
-    if (server.failures == kHoldDoublings) {
+    server.held_until = now_ + static_cast<Micros>(HoldSpan(server.failures));
+    if (++server.failures == kHoldDoublings)
       Say("server " + std::to_string(server.entry.id) + ": nothing but failures, tried rarely from now on");
-    }
-    server.held_until = now_ + static_cast<Micros>(span);
   }
 
   // Guards against a zone that is cut off having all its servers tried one by one, a time-out each. What
@@ -474,8 +490,7 @@
   // This gateway's part of what all together may send: with every gateway at its part the sum stays safe.
   // Only gateways of its own zone use a cold server, so the parts can be that much larger.
   double ColdRate(const Server& server) const {
-    double sharing = std::max(1.0, 1.0 * set_.gateways / set_.zones);
-    return std::max(1e-9, kColdFill * set_.fall_multiple * ColdCapacity(server) / sharing);
+    return std::max(1e-9, kColdFill * set_.fall_multiple * ColdCapacity(server) / Sharing());
   }
 
   bool ColdAllows(Server& server, const Request& request) {
@@ -557,9 +572,8 @@
     return best;
   }
 
-  // Where a short goes that would be refused otherwise, since those in turn, say full ones, can't serve it in
-  // time: to the least busy of the reserved. The design leaves open what happens when all that could serve
-  // are reserved.
+  // Where a short goes that would be refused otherwise: to the least busy of the reserved. The design leaves
+  // open what happens when all that could serve are reserved.
   Pick PickReserved(const Request& request) {
     Pick best;
     for (auto& [id, server] : servers_) {
@@ -592,24 +606,20 @@
   Pick PickRepeat(const Request& request) {
     const ClassSettings& c = set_.classes[request.request_class];
     const Attempt* first = FirstThatMayHaveRun(request);
-    if (first == nullptr || c.effect == Effect::kSafe || c.group == KeyedGroup::kAll) {
+    if (first == nullptr || c.effect == Effect::kSafe || c.group == KeyedGroup::kAll)
       return PickServer(request);
-    }
     auto home = servers_.find(first->server);
     if (home == servers_.end()) return {};
-    if (c.group == KeyedGroup::kSameZone) {
-      return NextInTurn(home->second.entry.zone, request);
-    }
+    if (c.group == KeyedGroup::kSameZone) return NextInTurn(home->second.entry.zone, request);
     Pick best;
     for (ServerId id : cells_[home->second.entry.cell]) {
       Server& server = servers_.at(id);
       if (!Sendable(server) || !Usable(server, request)) continue;
       double wait = ExpectedWait(server);
       // A reserved one only if there is no other: without any it would fail.
-      auto worse = [&] {
-        return std::pair(best.server->reserved, best.wait) > std::pair(server.reserved, wait);
-      };
-      if (best.server == nullptr || worse()) best = {&server, wait};
+      std::pair rank(server.reserved, wait);
+      if (best.server == nullptr || rank < std::pair(best.server->reserved, best.wait))
+        best = {&server, wait};
     }
     return best;
   }
@@ -694,11 +704,6 @@
     return nullptr;
   }
 
-  static bool AnyOut(const Request& request) {
-    return std::any_of(request.attempts.begin(), request.attempts.end(),
-                       [](const Attempt& a) { return a.out; });
-  }
-
   // No effect twice: whether another attempt is allowed at all.
   bool MayRepeat(const Request& request) const {
     if (static_cast<int>(request.attempts.size()) >= set_.max_attempts || now_ >= request.deadline)
@@ -712,8 +717,8 @@
   // A refusal promises that trying again is harmless.
   bool MayRefuse(const Request& request) const {
     const ClassSettings& c = set_.classes[request.request_class];
-    if (c.effect == Effect::kSafe || FirstThatMayHaveRun(request) == nullptr) return true;
-    return c.effect == Effect::kKeyed && c.group == KeyedGroup::kAll;
+    return c.effect == Effect::kSafe || FirstThatMayHaveRun(request) == nullptr ||
+           (c.effect == Effect::kKeyed && c.group == KeyedGroup::kAll);
   }
 
   // Further attempts are paid from a budget, since retries feed an overload.
@@ -734,12 +739,9 @@
   }
 
   void GiveUp(Request& request) {
-    if (MayRefuse(request)) {
-      RefuseIt(request, 0);
-    } else {
-      Act(Fail{request.id});
-      Close(request);
-    }
+    if (MayRefuse(request)) return RefuseIt(request, 0);
+    Act(Fail{request.id});
+    Close(request);
   }
 
   // The request has its final answer; attempts still out are called off and only counted from here on.
@@ -755,7 +757,9 @@
 
   void ForgetIfOver(RequestId id) {
     auto it = requests_.find(id);
-    if (it != requests_.end() && it->second.answered && !AnyOut(it->second)) requests_.erase(it);
+    if (it == requests_.end() || !it->second.answered) return;
+    const auto& attempts = it->second.attempts;
+    if (std::none_of(attempts.begin(), attempts.end(), [](auto& a) { return a.out; })) requests_.erase(it);
   }
 
   void On(const AttemptEnded& e) {
@@ -797,8 +801,7 @@
       Pick pick = PickRepeat(request);
       // What can't be refused any more fails instead: even a late answer is worth more than that.
       if (pick.server != nullptr && (!MayRefuse(request) || !TooLate(request, pick))) {
-        SendTo(request, *pick.server);
-        return;
+        return SendTo(request, *pick.server);
       }
     }
     GiveUp(request);
@@ -812,8 +815,7 @@
       return;
     }
     // The attempt is the client's now, and there is no deadline any more.
-    Request& request = it->second;
-    alarms_.erase({request.deadline - set_.tick, Alarm::kDeadline, request.id});
+    alarms_.erase({it->second.deadline - set_.tick, Alarm::kDeadline, e.id});
   }
 
   void On(const ClientLeft& e) {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -99,6 +100,70 @@
   for (const auto& [server, count] : first) EXPECT_LE(count, 8) << "server " << server;
 }
 
+// Guards against a hundred gateways that each meet each of the servers so seldom that every call pays a
+// handshake and none knows how any does: each works with a part of them, which all together use alike.
+TEST(Fleet, EachWorksWithAPartOfTheServersAndAllWithAll) {
+  std::map<ServerId, int> users;
+  for (int i = 0; i < kFleet; ++i) {
+    Gateway g(FleetSettings(i));
+    g.List(Servers(kServers));
+    std::set<ServerId> used;
+    for (RequestId id = 1; id <= 200; ++id) {
+      g.Arrive(id, 20 * kMs);
+      used.insert(g.ServerOf(id));
+      g.now += 20 * kMs;
+      g.End(id, Outcome::kServed, 0, 20 * kMs);
+    }
+    EXPECT_GE(used.size(), 3u);
+    EXPECT_LE(used.size(), 24u) << "of " << kServers;
+    for (ServerId server : used) ++users[server];
+  }
+  EXPECT_EQ(users.size(), kServers);
+  for (const auto& [server, count] : users) EXPECT_GE(count, 5) << "server " << server;
+  // Two gateways need all of them.
+  Settings few = FleetSettings(1);
+  few.gateways = 2;
+  Gateway g(few);
+  g.List(Servers(kServers));
+  std::set<ServerId> used;
+  for (RequestId id = 1; id <= 200; ++id) {
+    g.Arrive(id, 20 * kMs);
+    used.insert(g.ServerOf(id));
+    g.now += 20 * kMs;
+    g.End(id, Outcome::kServed, 0, 20 * kMs);
+  }
+  EXPECT_EQ(used.size(), kServers);
+}
+
+// Guards against a part of the servers that fails together: others fill it up.
+TEST(Fleet, WhereItsOwnPartFailsTheOthersServe) {
+  Gateway g(FleetSettings(1));
+  g.List(Servers(kServers));
+  std::set<ServerId> part;
+  RequestId id = 1;
+  for (; id <= 200; ++id) {
+    g.Arrive(id, 20 * kMs);
+    part.insert(g.ServerOf(id));
+    g.now += 20 * kMs;
+    g.End(id, Outcome::kServed, 0, 20 * kMs);
+  }
+  std::vector<ServerEntry> draining = Servers(kServers);
+  for (ServerEntry& e : draining) {
+    if (part.count(e.id) != 0) e.state = ServerState::kDraining;
+  }
+  g.List(draining, ListUpdate::Kind::kFull);
+  std::set<ServerId> used;
+  for (RequestId end = id + 200; id < end; ++id) {
+    g.Arrive(id, 20 * kMs);
+    ASSERT_TRUE(g.Sent(id));
+    EXPECT_EQ(part.count(g.ServerOf(id)), 0u);
+    used.insert(g.ServerOf(id));
+    g.now += 20 * kMs;
+    g.End(id, Outcome::kServed, 0, 20 * kMs);
+  }
+  EXPECT_GE(used.size(), 2u);
+}
+
 // Drives one gateway with a call every 50 ms, a third of them each class. `answers` tells which servers do.
 class Driven {
  public:
