Test that calls go on and a drain is kept while discovery is down

On real sockets eight calls are served by the worker that stays and none reaches the one that drains.

--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -606,6 +606,24 @@
   Question(rig, "/discovery/hosts?after=41&wait_ms=0");
 }
 
+// Guards against a discovery that is down taking the serving down with it, or undoing what it told before.
+TEST_CASE("while discovery fails calls go on from the list that is known, and a drain told before is kept") {
+  Rig rig(Asking());
+  Host stays;
+  Host drains;
+  rig.Know({&stays, &drains});
+  rig.Know({&drains}, WorkerList::Kind::kChanges, WorkerState::kDraining);
+  rig.registry.Close();  // refused from now on
+  for (int i = 1; i <= 8; ++i) {
+    std::string id = "b" + std::to_string(i);
+    Peer client = rig.Client();
+    client.Say(Check(id));
+    rig.Request(stays, id).Say(Answer(200, "served " + id));
+    rig.Hears(client, "served " + id);
+  }
+  CHECK_FALSE(drains.Accept());
+}
+
 TEST_CASE("a fetch asks for the whole list, and an old one undoes nothing") {
   Rig rig;
   Host worker;
