Let a cold worker take a long that fits its lump

Ruled out: cold workers being too slow for their calls, retries (1.00 attempts a call), lists. At fault: ColdAllows, which refused every long whatever its size. Now the lump alone decides, and the share stays 0.3.

The test on longs now holds the lump: 100 ms goes, 200 ms does not.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -500,7 +500,7 @@
       double usual = hints_ < kCutoffSamples ? ColdLump(server) : std::min(mean_work_, ColdLump(server));
       server.cold_next = now_ + static_cast<Micros>(Uniform() * usual / ColdRate(server));
     }
-    if (server.entry.zone != set_.zone || request.is_long || now_ < server.cold_next) return false;
+    if (server.entry.zone != set_.zone || now_ < server.cold_next) return false;
     return request.work <= ColdLump(server);
   }
 
