Take the platform's socket and serve the console: ready, lame duck, detach, attach

Change: the clients' listener from BALANCER_SOCKET_FD when set, checked to be a listening TCP socket; on SIGTERM with it, no more accepts at once and /up stays yes. The console on 'console' or BALANCER_CONSOLE: a byte-fed parser, 32 callers at most (oldest go), 0.9 s a call. Lame duck: /up 503, answers with Connection: close, idle clients closed. Detach holds a worker as draining over any list (src/membership/held, pure), kept in TMPDIR for a successor.

--- /dev/null
+++ b/src/console/command.cpp
@@ -0,0 +1,44 @@
+#include "console/command.hpp"
+
+namespace dappletiller::console {
+namespace {
+
+Command No(int status, std::string_view reason) { return {Verb::kNone, {}, status, reason}; }
+
+// The one `who=` of a query; an id is printable and has no separators, so nothing needs decoding.
+Command Who(Verb verb, std::string_view query) {
+  std::string_view found;
+  int count = 0;
+  while (!query.empty()) {
+    std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(pair.size() == query.size() ? pair.size() : pair.size() + 1);
+    if (pair.substr(0, 4) != "who=") continue;
+    found = pair.substr(4);
+    ++count;
+  }
+  if (count == 0) return No(400, "who= is missing");
+  if (count > 1) return No(400, "who= stands more than once");
+  if (found.empty() || found.size() > 200) return No(400, "who= is empty or too long");
+  for (char c : found) {
+    if (c <= ' ' || c == '%' || c == 0x7f) return No(400, "who= holds a character that no id has");
+  }
+  return {verb, std::string(found), 0, {}};
+}
+
+}  // namespace
+
+Command Read(std::string_view method, std::string_view target) {
+  std::size_t mark = target.find('?');
+  std::string_view path = target.substr(0, mark);
+  std::string_view query = mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
+  bool get = method == "GET";
+  bool put = method == "PUT";
+  if (path == "/_ready") return get ? Command{Verb::kReady, {}, 0, {}} : No(405, "GET only");
+  if (path == "/_lameduck/on") return put ? Command{Verb::kLameduckOn, {}, 0, {}} : No(405, "PUT only");
+  if (path == "/_lameduck/off") return put ? Command{Verb::kLameduckOff, {}, 0, {}} : No(405, "PUT only");
+  if (path == "/_plan-servers/detach") return put ? Who(Verb::kDetach, query) : No(405, "PUT only");
+  if (path == "/_plan-servers/attach") return put ? Who(Verb::kAttach, query) : No(405, "PUT only");
+  return No(404, "no such console call");
+}
+
+}  // namespace dappletiller::console
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,10 +3,13 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <charconv>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <exception>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -14,6 +17,7 @@
 #include "net/acceptor.hpp"
 #include "net/budget.hpp"
 #include "net/config.hpp"
+#include "net/console.hpp"
 #include "net/discovery.hpp"
 #include "net/gateway.hpp"
 #include "net/log.hpp"
@@ -39,7 +43,29 @@
   return ParseConfig(text.str());
 }
 
-class Proxy final : private EventSink {
+// Where the operators' console listens: the environment names it on days when the file doesn't.
+std::optional<Endpoint> ConsoleAt(const Config& config) {
+  if (const char* at = std::getenv("BALANCER_CONSOLE"); at != nullptr && *at != '\0') {
+    auto endpoint = ParseEndpoint(at);
+    if (!endpoint) throw ConfigError(std::string("BALANCER_CONSOLE is not an address and port: ") + at);
+    return endpoint;
+  }
+  return config.console;
+}
+
+// The descriptor of the clients' listening socket that the platform holds for every process; -1: none.
+int InheritedSocket() {
+  const char* text = std::getenv("BALANCER_SOCKET_FD");
+  if (text == nullptr || *text == '\0') return -1;
+  int fd = -1;
+  auto [end, failed] = std::from_chars(text, text + std::strlen(text), fd);
+  if (failed != std::errc() || *end != '\0' || fd < 0) {
+    throw ConfigError(std::string("BALANCER_SOCKET_FD is not a descriptor number: ") + text);
+  }
+  return fd;
+}
+
+class Proxy final : private EventSink, private ConsoleHandler {
  public:
   Proxy(Log& log, Config config)
       : log_(log),
@@ -51,14 +77,24 @@
         discovery_(loop_, log_, gateway_,
                    {config_.discovery, config_.discovery_text, config_.names, config_.known.version,
                     config_.settings.ask_within}),
+        console_(loop_, log_, *this),
         drain_timer_(loop_) {
     gateway_.Connect(workers_, discovery_);
   }
 
   void Run() {
     CatchSignals();
-    acceptor_.Listen();
+    LoadHeld();
+    if (int fd = InheritedSocket(); fd >= 0) {
+      acceptor_.Inherit(fd);
+    } else {
+      acceptor_.Listen();
+    }
     gateway_.Learn(config_.known);
+    if (auto at = ConsoleAt(config_)) {
+      console_.Listen(*at);
+      log_.Line("console on port %u", console_.port());
+    }
     log_.Line("started as %s on port %u with %zu workers known", config_.name.c_str(), acceptor_.port(),
               config_.known.entries.size());
     loop_.Run();
@@ -78,6 +114,67 @@
     return options;
   }
 
+  ConsoleReply Do(const console::Command& command) override {
+    using console::Verb;
+    switch (command.verb) {
+      case Verb::kReady:
+        return stopping_ ? ConsoleReply{503, "leaving"} : ConsoleReply{200, "ready"};
+      case Verb::kLameduckOn:
+      case Verb::kLameduckOff: {
+        bool on = command.verb == Verb::kLameduckOn;
+        if (on != acceptor_.lameduck()) {
+          log_.Line("lame duck %s: %zu client connections", on ? "on" : "off", acceptor_.connections());
+        }
+        acceptor_.Lameduck(on);
+        return {200, on ? "lame duck" : "serving"};
+      }
+      case Verb::kDetach:
+      case Verb::kAttach: {
+        bool detach = command.verb == Verb::kDetach;
+        bool known = detach ? gateway_.Detach(command.who) : gateway_.Attach(command.who);
+        if (!known) return {404, "no such worker was ever listed"};
+        SaveHeld();
+        return {200, detach ? "detached" : "attached"};
+      }
+      case Verb::kNone:
+        break;
+    }
+    return {400, "no such console call"};
+  }
+
+  // Held workers outlive the process, for a successor in an upgrade: in the shared temporary folder.
+  std::string HeldPath() const {
+    const char* dir = std::getenv("TMPDIR");
+    std::string base = dir != nullptr && *dir != '\0' ? dir : "/tmp";
+    return base + "/dappletiller-" + config_.name + ".held";
+  }
+
+  void LoadHeld() {
+    std::ifstream file(HeldPath(), std::ios::binary);
+    if (!file) return;
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!gateway_.LoadHeld(text.str())) {
+      log_.Line("held workers: %s is not whole or not ours; ignored", HeldPath().c_str());
+    }
+  }
+
+  void SaveHeld() {
+    std::string path = HeldPath();
+    std::string temporary = path + "." + std::to_string(::getpid());
+    {
+      std::ofstream file(temporary, std::ios::binary | std::ios::trunc);
+      file << gateway_.SaveHeld();
+      if (!file.flush()) {
+        log_.Line("held workers: %s cannot be written; a successor will not know them", temporary.c_str());
+        return;
+      }
+    }
+    std::error_code failed;
+    std::filesystem::rename(temporary, path, failed);
+    if (failed) log_.Line("held workers: %s: %s", path.c_str(), failed.message().c_str());
+  }
+
   static WorkerLimits Reaching(const Config& config) { return {config.dial_timeout, config.idle_timeout}; }
 
   void CatchSignals() {
@@ -105,6 +202,8 @@
     log_.Line("leaving: %zu calls open, %zu client connections", gateway_.open_calls(),
               acceptor_.connections());
     acceptor_.Drain();
+    // With the platform's socket a successor is taking the clients already: this one takes no more.
+    if (acceptor_.inherited()) acceptor_.StopAccepting();
     drain_timer_.Set(kStopAccepting, [this] { Leave(); });
   }
 
@@ -145,6 +244,7 @@
   WorkerLinks workers_;
   Acceptor acceptor_;
   Discovery discovery_;
+  Console console_;
   Fd signals_;
   Timer drain_timer_;
   bool stopping_ = false;
--- /dev/null
+++ b/src/membership/held.hpp
@@ -0,0 +1,43 @@
+// Workers that the operators have taken out of service for this proxy ("detach") and put back ("attach").
+// Pure: no socket, file or clock; times are handed in. A held worker counts as draining whatever discovery
+// says, until it is put back; then it counts as started at that moment, so that it is treated as cold.
+// The state travels to a successor process as text (Save/Load); text that is not ours is refused whole.
+#ifndef DAPPLETILLER_MEMBERSHIP_HELD_HPP_
+#define DAPPLETILLER_MEMBERSHIP_HELD_HPP_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace dappletiller::membership {
+
+class Held {
+ public:
+  using Micros = std::int64_t;
+
+  // Both are idempotent; they say whether anything changed.
+  bool Detach(const std::string& uid);
+  bool Attach(const std::string& uid, Micros now);
+
+  bool held(const std::string& uid) const { return held_.count(uid) != 0; }
+  // The start to report for a worker that discovery says started at `listed` (0: long ago).
+  Micros Started(const std::string& uid, Micros listed) const;
+  // Forgets what is known of a worker that discovery has removed.
+  void Forget(const std::string& uid) { back_.erase(uid); }
+  std::size_t size() const { return held_.size(); }
+
+  std::string Save() const;
+  // Replaces all with what `text` holds; nothing changes if it is not whole and of this version.
+  bool Load(std::string_view text);
+
+ private:
+  std::set<std::string> held_;
+  std::map<std::string, Micros> back_;  // when it was put back: cold from then
+};
+
+}  // namespace dappletiller::membership
+
+#endif  // DAPPLETILLER_MEMBERSHIP_HELD_HPP_
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -1,5 +1,6 @@
 #include "net/acceptor.hpp"
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/epoll.h>
@@ -148,7 +149,9 @@
     fresh_ = false;
     if (request->path() == "/up") {
       acceptor_.room_.Probed(id);
-      bool up = !acceptor_.draining_;
+      // With a socket of the platform's, a successor takes the clients when this process leaves: the
+      // proxy is still up.
+      bool up = !acceptor_.lameduck_ && !(acceptor_.draining_ && !acceptor_.inherited_);
       return Say(up ? 200 : 503, up ? "up" : "leaving", 0);
     }
     Call(std::move(request));
@@ -211,7 +214,7 @@
   void Answering() {
     if (state_ == State::kWaiting) CloseCall();
     state_ = State::kWriting;
-    if (acceptor_.draining_ || acceptor_.room_.LastAnswer(id)) keep_ = false;
+    if (acceptor_.draining_ || acceptor_.lameduck_ || acceptor_.room_.LastAnswer(id)) keep_ = false;
     timer_.Set(kWriteTime, [this] { acceptor_.Drop(*this); });
   }
 
@@ -282,8 +285,52 @@
   check(::listen(listener_.get(), SOMAXCONN) == 0, "listen");
   check(::getsockname(listener_.get(), generic, &size) == 0, "getsockname");
   port_ = ntohs(address.sin_port);
+  Watch();
+}
+
+void Acceptor::Inherit(int fd) {
+  auto option = [fd](int name) {
+    int value = 0;
+    socklen_t size = sizeof value;
+    if (::getsockopt(fd, SOL_SOCKET, name, &value, &size) != 0) {
+      throw std::system_error(errno, std::generic_category(), "BALANCER_SOCKET_FD is no socket");
+    }
+    return value;
+  };
+  if (option(SO_TYPE) != SOCK_STREAM || option(SO_DOMAIN) != AF_INET || option(SO_ACCEPTCONN) != 1) {
+    throw std::system_error(EINVAL, std::generic_category(),
+                            "BALANCER_SOCKET_FD is not a listening TCP socket over IPv4");
+  }
+  // The descriptor is shared with the other processes of the proxy; all of them want it non-blocking.
+  int flags = ::fcntl(fd, F_GETFL);
+  if (flags < 0 || ::fcntl(fd, F_SETFL, flags | O_NONBLOCK) != 0 || ::fcntl(fd, F_SETFD, FD_CLOEXEC) != 0) {
+    throw std::system_error(errno, std::generic_category(), "BALANCER_SOCKET_FD");
+  }
+  listener_ = Fd(fd);
+  inherited_ = true;
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  if (::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+    throw std::system_error(errno, std::generic_category(), "getsockname");
+  }
+  port_ = ntohs(address.sin_port);
+  Watch();
+}
+
+void Acceptor::Watch() {
   token_ = loop_.Watch(listener_.get(), this);
-  check(token_ != 0, "epoll_ctl");
+  if (token_ == 0) throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+}
+
+void Acceptor::Lameduck(bool on) {
+  lameduck_ = on;
+  if (on) CloseIdle();
+}
+
+void Acceptor::StopAccepting() {
+  pause_.Clear();
+  if (listener_) loop_.Forget(token_, listener_.get());
+  listener_.Reset();
 }
 
 void Acceptor::OnReady(std::uint32_t) { Accept(); }
@@ -353,12 +400,17 @@
 
 void Acceptor::Close() {
   if (closed_) return;
-  // What has been accepted by the kernel is ours already.
-  for (int i = 0; i < SOMAXCONN / kAcceptsAtOnce; ++i) Accept();
+  // What has been accepted by the kernel is ours already, unless the platform's socket keeps it for our
+  // successor.
+  if (!inherited_) {
+    for (int i = 0; i < SOMAXCONN / kAcceptsAtOnce; ++i) Accept();
+  }
   closed_ = draining_ = true;
-  pause_.Clear();
-  if (listener_) loop_.Forget(token_, listener_.get());
-  listener_.Reset();
+  StopAccepting();
+  CloseIdle();
+}
+
+void Acceptor::CloseIdle() {
   // One that leaves may take others with it; those that went are freed only after this round.
   std::vector<Conn*> all;
   for (auto& [id, conn] : conns_) all.push_back(conn.get());
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -34,9 +34,19 @@
   ~Acceptor();
 
   void Listen();  // throws std::system_error
+  // Serves on a listening TCP socket that the platform holds for every process of this proxy, instead of
+  // one of its own (the descriptor is taken over). Throws std::system_error if it is no such socket.
+  void Inherit(int fd);
+  bool inherited() const { return inherited_; }
   std::uint16_t port() const { return port_; }
   // From now on every answer asks its client to leave; new connections are still served.
   void Drain() { draining_ = true; }
+  // The operators' lame duck: `/up` says no, every answer asks its client to leave and idle connections go
+  // now; off again, all is as before unless a SIGTERM came meanwhile.
+  void Lameduck(bool on);
+  bool lameduck() const { return lameduck_; }
+  // No more connections are taken; those open are served on.
+  void StopAccepting();
   // No more connections; what is open ends with its answer, what is idle ends now.
   void Close();
   std::size_t connections() const { return conns_.size(); }
@@ -53,6 +63,8 @@
   bool DropIfUnused(limits::ClientRoom::Id id);
   void Trim();
   void Drop(Conn& conn);
+  void Watch();
+  void CloseIdle();
 
   Loop& loop_;
   Log& log_;
@@ -70,6 +82,8 @@
   limits::ClientRoom room_;
   limits::ClientRoom::Id ids_ = 0;
   bool draining_ = false;
+  bool lameduck_ = false;
+  bool inherited_ = false;
   bool closed_ = false;
   bool waiting_ = false;  // connections wait in the kernel
   long ended_early_ = 0;  // since it was last told
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -155,6 +155,7 @@
   Config config;
   config.name = Text(root, "name");
   config.listen = Address(root, "listen");
+  if (root.isMember("console")) config.console = Address(root, "console");
   config.discovery = Address(root, "discovery");
   config.discovery_text = Text(root, "discovery");
   config.sockets = static_cast<std::size_t>(Number(Member(root, "limits"), "sockets"));
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -28,6 +28,7 @@
 struct Config {
   std::string name;
   Endpoint listen;
+  std::optional<Endpoint> console;  // the operators' second address; none on days without it
   Endpoint discovery;
   std::string discovery_text;
   std::size_t sockets = 1024;
--- /dev/null
+++ b/src/net/console.cpp
@@ -0,0 +1,117 @@
+#include "net/console.hpp"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <system_error>
+
+#include "net/channel.hpp"
+#include "net/http.hpp"
+
+namespace dappletiller {
+
+class Console::Conn final : public Channel::Owner {
+ public:
+  Conn(Console& console, std::uint64_t id)
+      : channel(console.loop_, *this), console_(console), id_(id), timer_(console.loop_) {
+    timer_.Set(kCallTime, [this] { Finish(408, "the call took too long to arrive"); });
+  }
+
+  std::span<char> Room() override { return answered_ ? std::span<char>(sink_) : parser_.Room(); }
+
+  void OnBytes(std::size_t n) override {
+    if (answered_) return;
+    parser_.Got(n);
+    if (parser_.bad()) return Finish(parser_.error_status(), "the call is malformed or too large");
+    if (parser_.wants_continue()) parser_.continued();  // the body is not read: no console call has one
+    if (!parser_.done()) return;
+    http::MessageRef request = parser_.Take();
+    console::Command command = console::Read(request->method(), request->target());
+    if (command.status != 0) return Finish(command.status, command.reason);
+    ConsoleReply reply = console_.handler_.Do(command);
+    Finish(reply.status, reply.text);
+  }
+
+  void OnWritten() override {
+    if (answered_) console_.Drop(id_);
+  }
+  void OnGone() override { console_.Drop(id_); }
+
+  Channel channel;
+
+ private:
+  void Finish(int status, std::string_view text) {
+    if (answered_) return;
+    answered_ = true;
+    if (status >= 400) {
+      console_.log_.Line("console: %d: %.*s", status, static_cast<int>(text.size()), text.data());
+    }
+    http::WriteStatus(status, text, 0, false, &channel.out());
+    channel.Flush();
+    // A caller that doesn't read its answer is not waited for.
+    timer_.Set(kCallTime, [this] { console_.Drop(id_); });
+  }
+
+  Console& console_;
+  std::uint64_t id_;
+  Timer timer_;
+  http::Parser parser_{http::Parser::Kind::kRequest};
+  std::array<char, 512> sink_{};
+  bool answered_ = false;
+};
+
+Console::Console(Loop& loop, Log& log, ConsoleHandler& handler) : loop_(loop), log_(log), handler_(handler) {}
+
+Console::~Console() {
+  if (listener_) loop_.Forget(token_, listener_.get());
+}
+
+void Console::Listen(const Endpoint& where) {
+  auto check = [](bool fine, const char* what) {
+    if (!fine) throw std::system_error(errno, std::generic_category(), std::string("console ") + what);
+  };
+  listener_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  check(static_cast<bool>(listener_), "socket");
+  int on = 1;
+  ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(where.address);
+  address.sin_port = htons(where.port);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  socklen_t size = sizeof address;
+  check(::bind(listener_.get(), generic, size) == 0, "bind");
+  check(::listen(listener_.get(), 64) == 0, "listen");
+  check(::getsockname(listener_.get(), generic, &size) == 0, "getsockname");
+  port_ = ntohs(address.sin_port);
+  token_ = loop_.Watch(listener_.get(), this);
+  check(token_ != 0, "epoll_ctl");
+}
+
+void Console::OnReady(std::uint32_t) {
+  for (;;) {
+    Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd) {
+      if (errno == EINTR || errno == ECONNABORTED) continue;
+      return;  // EAGAIN, or no descriptor: the caller's connection waits in the kernel for its next edge
+    }
+    // Guards against silent callers holding every place: the one that has waited longest goes.
+    if (conns_.size() >= kMostCallers) Drop(conns_.begin()->first);
+    auto conn = std::make_unique<Conn>(*this, ++ids_);
+    Conn& begun = *conn;
+    conns_[ids_] = std::move(conn);
+    if (!begun.channel.Adopt(std::move(fd))) Drop(ids_);
+  }
+}
+
+void Console::Drop(std::uint64_t id) {
+  auto it = conns_.find(id);
+  if (it == conns_.end()) return;
+  std::unique_ptr<Conn> owned = std::move(it->second);
+  conns_.erase(it);
+  owned->channel.Close();
+  loop_.Dispose(std::move(owned));
+}
+
+}  // namespace dappletiller
--- /dev/null
+++ b/src/net/console.hpp
@@ -0,0 +1,61 @@
+// The operators' console on the second address: one HTTP/1.1 call to a connection, answered and closed. The
+// driver only reads, parses with the byte-fed parser and writes; what a call means is the handler's.
+// Guards against callers that stall it: each connection has kCallTime in all, and at most kMostCallers are
+// open, the oldest going first, so that a silent crowd never keeps a real caller waiting.
+#ifndef DAPPLETILLER_NET_CONSOLE_HPP_
+#define DAPPLETILLER_NET_CONSOLE_HPP_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "console/command.hpp"
+#include "net/log.hpp"
+#include "net/loop.hpp"
+#include "net/types.hpp"
+
+namespace dappletiller {
+
+struct ConsoleReply {
+  int status = 200;  // 2xx yes, 4xx or 5xx no
+  std::string text;  // one plain line
+};
+
+class ConsoleHandler {
+ public:
+  virtual ConsoleReply Do(const console::Command& command) = 0;
+
+ protected:
+  ~ConsoleHandler() = default;
+};
+
+class Console final : private EventSink {
+ public:
+  static constexpr Micros kCallTime = 900'000;  // a caller waits 1 s at most
+  static constexpr std::size_t kMostCallers = 32;
+
+  Console(Loop& loop, Log& log, ConsoleHandler& handler);
+  ~Console();
+  void Listen(const Endpoint& where);  // throws std::system_error
+  std::uint16_t port() const { return port_; }
+  std::size_t connections() const { return conns_.size(); }
+
+ private:
+  class Conn;
+  void OnReady(std::uint32_t events) override;
+  void Drop(std::uint64_t id);
+
+  Loop& loop_;
+  Log& log_;
+  ConsoleHandler& handler_;
+  Fd listener_;
+  Loop::Token token_ = 0;
+  std::uint16_t port_ = 0;
+  std::uint64_t ids_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<Conn>> conns_;  // oldest first
+};
+
+}  // namespace dappletiller
+
+#endif  // DAPPLETILLER_NET_CONSOLE_HPP_
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -182,13 +182,50 @@
 void Gateway::Learn(const WorkerList& list) {
   if (list.kind == WorkerList::Kind::kFull || list.kind == WorkerList::Kind::kChanges)
     listed_at_ = loop_.Now();
+  Apply(list);
+}
+
+bool Gateway::Detach(const std::string& uid) {
+  if (ever_listed_.count(uid) == 0) return false;
+  if (held_.Detach(uid)) {
+    log_.Line("worker %s is detached by the operators: draining until attached", uid.c_str());
+    Relist(uid);
+  }
+  return true;
+}
+
+bool Gateway::Attach(const std::string& uid) {
+  if (ever_listed_.count(uid) == 0) return false;
+  if (held_.Attach(uid, loop_.Now())) {
+    log_.Line("worker %s is attached again by the operators: cold from now", uid.c_str());
+    Relist(uid);
+  }
+  return true;
+}
+
+// The module hears of the worker again as discovery last listed it, with what the operators said on top.
+void Gateway::Relist(const std::string& uid) {
+  auto it = workers_by_uid_.find(uid);
+  if (it == workers_by_uid_.end()) return;
+  WorkerList one;
+  one.kind = WorkerList::Kind::kChanges;
+  one.entries.push_back(it->second.last);
+  Apply(one);
+}
+
+void Gateway::Apply(const WorkerList& list) {
   sandstand::ListUpdate event;
   event.kind = Translate(list.kind);
   std::set<std::string> named;
-  for (const WorkerEntry& entry : list.entries) {
-    auto [it, fresh] = workers_by_uid_.try_emplace(entry.uid);
+  for (const WorkerEntry& listed : list.entries) {
+    auto [it, fresh] = workers_by_uid_.try_emplace(listed.uid);
     Known& known = it->second;
     if (fresh) known.id = ++worker_ids_;
+    known.last = listed;
+    ever_listed_.insert(listed.uid);
+    WorkerEntry entry = listed;
+    if (entry.state != WorkerState::kGone && held_.held(entry.uid)) entry.state = WorkerState::kDraining;
+    entry.boot_unix = held_.Started(entry.uid, entry.boot_unix);
     if (entry.state != WorkerState::kGone && !(known.endpoint == entry.endpoint)) {
       std::uint32_t a = entry.endpoint.address;
       log_.Line("worker %u is %s at %u.%u.%u.%u:%u", known.id, entry.uid.c_str(), a >> 24, a >> 16 & 255,
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -6,10 +6,12 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "membership/held.hpp"
 #include "net/log.hpp"
 #include "net/loop.hpp"
 #include "net/tally.hpp"
@@ -33,6 +35,13 @@
   void Ended(DelegationKey key, DelegationEnd end, PayloadRef answer);
   // From discovery.
   void Learn(const WorkerList& list);
+  // From the operators: a worker that counts as draining from now on, whatever discovery lists, and its
+  // return, cold. False: discovery never named it. Repeating either is harmless.
+  bool Detach(const std::string& uid);
+  bool Attach(const std::string& uid);
+  // What is held, to hand to a successor; Load replaces it (false: the text was not whole, nothing changed).
+  std::string SaveHeld() const { return held_.Save(); }
+  bool LoadHeld(std::string_view text) { return held_.Load(text); }
 
   // Counts for the line that is logged once a second while anything passes; other parts add theirs.
   Tally& tally();
@@ -56,9 +65,12 @@
   struct Known {
     WorkerId id = 0;
     Endpoint endpoint;
+    WorkerEntry last;  // as discovery last listed it
   };
 
   void Deliver(sandstand::Event event);
+  void Apply(const WorkerList& list);
+  void Relist(const std::string& uid);
   void Carry(const sandstand::Send& action);
   void Carry(const sandstand::Refuse& action);
   void Carry(const sandstand::Fail& action);
@@ -88,7 +100,9 @@
   Timer wake_;
   Tally tally_;
   Timer tell_;
-  Micros listed_at_ = 0;  // when discovery last answered; 0: never
+  membership::Held held_;
+  std::set<std::string> ever_listed_;  // bounded by the uids that discovery ever gave
+  Micros listed_at_ = 0;               // when discovery last answered; 0: never
 };
 
 }  // namespace dappletiller
--- /dev/null
+++ b/tests/net/console_test.cpp
@@ -0,0 +1,206 @@
+// The operators' console: what a call asks for, workers held across discovery and processes, the lame duck,
+// and the platform's socket. Real sockets on loopback, bounded waits.
+#include "net/console.hpp"
+
+#include <string>
+#include <vector>
+
+#include "console/command.hpp"
+#include "membership/held.hpp"
+#include "support.hpp"
+
+namespace dappletiller::testing {
+namespace {
+
+using console::Verb;
+
+TEST_CASE("console calls are read by method, path and one who=") {
+  struct Row {
+    const char* method;
+    const char* target;
+    Verb verb;
+    int status;
+    const char* who;
+  };
+  const std::vector<Row> rows = {
+      {"GET", "/_ready", Verb::kReady, 0, ""},
+      {"PUT", "/_ready", Verb::kNone, 405, ""},
+      {"PUT", "/_lameduck/on", Verb::kLameduckOn, 0, ""},
+      {"PUT", "/_lameduck/off", Verb::kLameduckOff, 0, ""},
+      {"GET", "/_lameduck/on", Verb::kNone, 405, ""},
+      {"PUT", "/_plan-servers/detach?who=w1", Verb::kDetach, 0, "w1"},
+      {"PUT", "/_plan-servers/attach?x=1&who=w-2", Verb::kAttach, 0, "w-2"},
+      {"PUT", "/_plan-servers/detach", Verb::kNone, 400, ""},
+      {"PUT", "/_plan-servers/detach?who=", Verb::kNone, 400, ""},
+      {"PUT", "/_plan-servers/detach?who=a&who=b", Verb::kNone, 400, ""},
+      {"PUT", "/_plan-servers/detach?who=a%20b", Verb::kNone, 400, ""},
+      {"POST", "/_plan-servers/attach?who=w1", Verb::kNone, 405, ""},
+      {"GET", "/up", Verb::kNone, 404, ""},
+      {"PUT", "/_lameduck", Verb::kNone, 404, ""},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.target);
+    console::Command c = console::Read(row.method, row.target);
+    CHECK(c.verb == row.verb);
+    CHECK(c.status == row.status);
+    CHECK(c.who == row.who);
+  }
+}
+
+TEST_CASE("held workers: idempotent, cold from their return, and handed on only whole") {
+  membership::Held held;
+  CHECK(held.Detach("w1"));
+  CHECK_FALSE(held.Detach("w1"));
+  CHECK(held.held("w1"));
+  CHECK(held.Started("w1", 5) == 5);
+  CHECK_FALSE(held.Attach("w2", 100));
+  CHECK(held.Attach("w1", 100));
+  CHECK_FALSE(held.Attach("w1", 200));
+  CHECK(held.Started("w1", 5) == 100);
+  CHECK(held.Started("w1", 300) == 300);  // a later start of its own counts
+  held.Detach("w3");
+
+  std::string text = held.Save();
+  membership::Held next;
+  REQUIRE(next.Load(text));
+  CHECK(next.held("w3"));
+  CHECK_FALSE(next.held("w1"));
+  CHECK(next.Started("w1", 0) == 100);
+
+  // Cut short anywhere, foreign, or of another version: nothing changes.
+  for (std::size_t cut = 0; cut < text.size(); ++cut) {
+    CAPTURE(cut);
+    CHECK_FALSE(next.Load(text.substr(0, cut)));
+  }
+  CHECK_FALSE(next.Load("dappletiller-held 2\nend\n"));
+  CHECK_FALSE(next.Load(text + "h w9\n"));
+  CHECK_FALSE(next.Load("dappletiller-held 1\nb w1 12x\nend\n"));
+  CHECK(next.held("w3"));
+}
+
+TEST_CASE("a detached worker gets no new call while discovery still lists it, and comes back on attach") {
+  Rig rig;
+  Host a, b;
+  rig.Know({&a, &b});
+  std::string uid_a = "w" + std::to_string(a.port);
+  CHECK_FALSE(rig.gateway.Detach("never-listed"));
+  // A call in flight at the worker when it is detached still gets its answer from it.
+  Peer first = rig.Client();
+  Peer* at = nullptr;
+  for (int i = 0; at == nullptr; ++i) {
+    REQUIRE(i < 8);
+    first.text.clear();
+    std::string id = "c" + std::to_string(i);
+    first.Say(Check(id));
+    Peer& got = [&]() -> Peer& {
+      Peer* found = nullptr;
+      rig.Until("a worker has the request", [&] {
+        for (Host* h : {&a, &b}) {
+          h->Accept();
+          for (Peer& p : h->peers) {
+            if (p.Has("Request-Id: " + id + "\r\n")) found = &p;
+          }
+        }
+        return found != nullptr;
+      });
+      return *found;
+    }();
+    bool on_a = std::any_of(a.peers.begin(), a.peers.end(), [&](Peer& p) { return &p == &got; });
+    if (on_a) {
+      at = &got;
+    } else {
+      got.text.clear();
+      got.Say(Answer(200, "b " + id));
+      rig.Hears(first, "b " + id);
+    }
+  }
+  REQUIRE(rig.gateway.Detach(uid_a));
+  REQUIRE(rig.gateway.Detach(uid_a));
+  rig.Know({&a, &b}, WorkerList::Kind::kFull);  // discovery still says ready
+  at->Say(Answer(200, "from a"));
+  rig.Hears(first, "from a");
+  for (int i = 0; i < 6; ++i) {
+    Peer client = rig.Client();
+    std::string id = "d" + std::to_string(i);
+    client.Say(Check(id));
+    Peer& got = rig.Request(b, id);
+    got.text.clear();
+    got.Say(Answer(200, "ok " + id));
+    rig.Hears(client, "ok " + id);
+  }
+  for (Peer& p : a.peers) CHECK(p.Heard().find("Request-Id: d") == std::string::npos);
+  CHECK(rig.gateway.Attach(uid_a));
+  std::string held = rig.gateway.SaveHeld();
+  CHECK(held.find("h " + uid_a) == std::string::npos);
+}
+
+class Answers final : public ConsoleHandler {
+ public:
+  ConsoleReply Do(const console::Command& c) override {
+    seen.push_back(c.verb);
+    return {c.verb == Verb::kDetach ? 404 : 200, "fine"};
+  }
+  std::vector<Verb> seen;
+};
+
+TEST_CASE("the console answers at once while silent callers hold connections, and gives each a clear no") {
+  Rig rig;
+  Answers handler;
+  Console console(rig.loop, rig.log, handler);
+  console.Listen({kLoopback, 0});
+  std::vector<Peer> silent;
+  for (std::size_t i = 0; i < Console::kMostCallers + 4; ++i) silent.push_back(Peer::Dial(console.port()));
+  Peer half = Peer::Dial(console.port());
+  half.Say("PUT /_lameduck/on HTTP/1.1\r\nHo");
+  Peer ready = Peer::Dial(console.port());
+  ready.Say("GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  rig.Hears(ready, "HTTP/1.1 200");
+  rig.Until("the ready caller is closed", [&] { return ready.Ended(); });
+  Peer unknown = Peer::Dial(console.port());
+  unknown.Say("PUT /_plan-servers/detach?who=nobody HTTP/1.1\r\nHost: x\r\n\r\n");
+  rig.Hears(unknown, "HTTP/1.1 404");
+  Peer bad = Peer::Dial(console.port());
+  bad.Say("NOT HTTP\r\n\r\n");
+  rig.Hears(bad, "HTTP/1.1 400");
+  rig.Until("the half-sent call is given up", [&] { return half.Ended(); });
+  CHECK(handler.seen == std::vector<Verb>{Verb::kReady, Verb::kDetach});
+  CHECK(console.connections() <= Console::kMostCallers);
+}
+
+TEST_CASE("a lame duck says no on /up, closes idle connections, serves open ones, and comes back") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer idle = rig.Client();
+  idle.Say(Check("i0"));
+  Peer& at = rig.Request(worker, "i0");
+  at.Say(Answer(200, "first"));
+  rig.Hears(idle, "first");
+  Peer busy = rig.Client();
+  busy.Say(Check("b0"));
+  Peer& busy_at = rig.Request(worker, "b0");
+  rig.acceptor.Lameduck(true);
+  rig.Until("the idle client is closed", [&] { return idle.Ended(); });
+  busy_at.text.clear();
+  busy_at.Say(Answer(200, "second"));
+  rig.Hears(busy, "Connection: close");
+  Peer probe = rig.Client();
+  probe.Say("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+  rig.Hears(probe, "HTTP/1.1 503");
+  rig.acceptor.Lameduck(false);
+  Peer again = rig.Client();
+  again.Say("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+  rig.Hears(again, "HTTP/1.1 200");
+}
+
+TEST_CASE("the platform's socket is taken only if it is a listening TCP socket") {
+  Rig rig;
+  Fd plain(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  CHECK_THROWS(rig.acceptor.Inherit(plain.get()));
+  Fd datagram(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+  CHECK_THROWS(rig.acceptor.Inherit(datagram.get()));
+  CHECK_THROWS(rig.acceptor.Inherit(1000));  // no descriptor at all
+}
+
+}  // namespace
+}  // namespace dappletiller::testing
