Take classes that SIGHUP adds, decided as the start's class nearest in deadline

Ruled out: the lame duck (off at 8.67 s, /up yes again) and the workers (1 to 4 errors a second). At fault: Proxy::Reload kept the start's classes.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -223,8 +223,13 @@
     acceptor_.Resize(fresh.sockets / kPlacesPart);
     workers_.SetLimits(Reaching(fresh));
     if (moved) discovery_.Move(fresh.discovery, fresh.discovery_text);
+    if (fresh.settings_text != config_.settings_text) {
+      AcceptorOptions classes = Accepting(fresh);
+      acceptor_.Retune(classes.classes, classes.patience, classes.effects);
+    }
     log_.Line("reload: done, discovery %s %s%s", moved ? "moves to" : "stays at",
-              fresh.discovery_text.c_str(), later ? "; the rest of what changed needs a restart" : "");
+              fresh.discovery_text.c_str(),
+              later ? "; classes are taken, the rest of what changed needs a restart" : "");
     // The module goes on with the settings and the listener that it has.
     config_.discovery = fresh.discovery;
   }
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -182,7 +182,7 @@
     if (!acceptor_.open_ids_.insert(request_id_).second)
       return Reject(409, "a call with this Request-Id is open");
     Arrival arrival;
-    arrival.call_class = known->second;
+    arrival.call_class = acceptor_.options_.decided_as[place];
     Micros patience = acceptor_.options_.patience[place];
     Micros most_hint = kHintTimes * patience;
     if (auto stated = request->Find("Request-Timeout")) {
@@ -258,6 +258,41 @@
   });
   for (std::size_t i = 0; i < options_.classes.size(); ++i) {
     class_of_[options_.classes[i]] = static_cast<int>(i);
+    if (options_.decided_as.size() <= i) options_.decided_as.push_back(static_cast<int>(i));
+  }
+  modules_classes_ = options_.classes.size();
+}
+
+void Acceptor::Retune(const std::vector<std::string>& names, const std::vector<Micros>& patience,
+                      const std::vector<sandstand::Effect>& effects) {
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    auto known = class_of_.find(names[i]);
+    if (known != class_of_.end()) {
+      auto place = static_cast<std::size_t>(known->second);
+      if (options_.effects[place] == effects[i]) options_.patience[place] = patience[i];
+      continue;
+    }
+    // The module knows only the classes it was made with: the one of this effect nearest in deadline.
+    int decided = -1;
+    Micros nearest = 0;
+    for (std::size_t c = 0; c < modules_classes_; ++c) {
+      if (options_.effects[c] != effects[i]) continue;
+      Micros gap = options_.patience[c] > patience[i] ? options_.patience[c] - patience[i]
+                                                      : patience[i] - options_.patience[c];
+      if (decided < 0 || gap < nearest) decided = static_cast<int>(c), nearest = gap;
+    }
+    if (decided < 0) {
+      log_.Line("reload: class %s has an effect that no class of the start has; it needs a restart",
+                names[i].c_str());
+      continue;
+    }
+    class_of_[names[i]] = static_cast<int>(options_.classes.size());
+    options_.classes.push_back(names[i]);
+    options_.patience.push_back(patience[i]);
+    options_.effects.push_back(effects[i]);
+    options_.decided_as.push_back(decided);
+    log_.Line("reload: class %s is new; decided as %s", names[i].c_str(),
+              options_.classes[static_cast<std::size_t>(decided)].c_str());
   }
 }
 
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -26,6 +26,9 @@
   // After connecting, a client's first request may take this long to come: some round trips, a pause of its
   // own.
   Micros new_for = 100'000;
+  // Of a class: the module's class that decides for it; empty: the same place. A class that came with a
+  // reload is decided as the module's class of the same effect with the nearest deadline.
+  std::vector<int> decided_as;
 };
 
 class Acceptor final : private EventSink {
@@ -52,6 +55,10 @@
   std::size_t connections() const { return conns_.size(); }
   // Of the connections that clients may hold for calls; the surplus goes as soon as it is unused.
   void Resize(std::size_t places) { room_.Resize(places); }
+  // Classes from a reload: a new name is added, a known one takes its new patience; calls that are open keep
+  // what they had. A class that is no longer named stays known, so that a late client is still served.
+  void Retune(const std::vector<std::string>& names, const std::vector<Micros>& patience,
+              const std::vector<sandstand::Effect>& effects);
 
  private:
   class Conn;
@@ -72,6 +79,7 @@
   Budget& budget_;
   AcceptorOptions options_;
   std::unordered_map<std::string, int> class_of_;
+  std::size_t modules_classes_ = 0;           // the classes that the module was made with come first
   std::unordered_set<std::string> open_ids_;  // of the calls that are open
   std::vector<char> waste_;                   // where what nobody will read goes
   Fd listener_;
--- a/tests/net/console_test.cpp
+++ b/tests/net/console_test.cpp
@@ -202,5 +202,23 @@
   CHECK_THROWS(rig.acceptor.Inherit(1000));  // no descriptor at all
 }
 
+// Seen on a day with new settings: after SIGHUP clients named a new class and got 400 for most of the day.
+TEST_CASE("a class added by a reload is served, and an effect no class had is not taken") {
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  std::string fresh = "GET /api HTTP/1.1\r\nHost: x\r\nRequest-Id: n1\r\nRequest-Class: look\r\n\r\n";
+  Peer before = rig.Client();
+  before.Say(fresh);
+  rig.Hears(before, "HTTP/1.1 400");
+  rig.acceptor.Retune({"check", "look"}, {kBound, kBound},
+                      {sandstand::Effect::kSafe, sandstand::Effect::kSafe});
+  Peer after = rig.Client();
+  after.Say(fresh);
+  Peer& at = rig.Request(worker, "n1");
+  at.Say(Answer(200, "looked"));
+  rig.Hears(after, "looked");
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -135,7 +135,8 @@
                   {kBound, kBound, kBound},
                   {sandstand::Effect::kSafe, sandstand::Effect::kUnsafe, sandstand::Effect::kKeyed},
                   places,
-                  kBound}),
+                  kBound,
+                  {}}),
         discovery(loop, log, gateway,
                   {registry.endpoint(), "discovery", {{"here"}, {"plain"}}, 41, rules.ask_within}) {
     gateway.Connect(workers, discovery);
