--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -487,9 +487,9 @@
   }
 
   // This gateway's part of what all together may send: with every gateway at its part the sum stays safe.
-  // Only gateways of its own zone use a cold server, so the parts can be that much larger.
+  // Gateways of every zone take part, or one put back by hand would stay unused where it has no zone-mate.
   double ColdRate(const Server& server) const {
-    return std::max(1e-9, kColdFill * set_.fall_multiple * ColdCapacity(server) / Sharing());
+    return std::max(1e-9, kColdFill * set_.fall_multiple * ColdCapacity(server) / std::max(1, set_.gateways));
   }
 
   bool ColdAllows(Server& server, const Request& request) {
@@ -500,7 +500,7 @@
       double usual = hints_ < kCutoffSamples ? ColdLump(server) : std::min(mean_work_, ColdLump(server));
       server.cold_next = now_ + static_cast<Micros>(Uniform() * usual / ColdRate(server));
     }
-    if (server.entry.zone != set_.zone || now_ < server.cold_next) return false;
+    if (now_ < server.cold_next) return false;
     return request.work <= ColdLump(server);
   }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -39,8 +39,14 @@
   if (path == nullptr) throw ConfigError("BALANCER_CONFIG is not set");
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw ConfigError(std::string(path) + " cannot be read");
-  return ParseConfig(text.str());
+  if (!file) throw ConfigError(std::string(path) + " cannot be read");
+  // An empty file reads as a failure of the stream: told apart, since a half-written file is common.
+  if (!(text << file.rdbuf()) || text.str().empty()) throw ConfigError(std::string(path) + " is empty");
+  try {
+    return ParseConfig(text.str());
+  } catch (const ConfigError& e) {
+    throw ConfigError(std::string(path) + ": " + e.what());
+  }
 }
 
 // Where the operators' console listens: the environment names it on days when the file doesn't.
--- a/tests/net/console_test.cpp
+++ b/tests/net/console_test.cpp
@@ -179,7 +179,9 @@
   Peer busy = rig.Client();
   busy.Say(Check("b0"));
   Peer& busy_at = rig.Request(worker, "b0");
+  REQUIRE(rig.acceptor.connections() == 2);
   rig.acceptor.Lameduck(true);
+  CHECK(rig.acceptor.connections() == 1);  // the idle one goes at once, not at its idle time
   rig.Until("the idle client is closed", [&] { return idle.Ended(); });
   busy_at.text.clear();
   busy_at.Say(Answer(200, "second"));
