--- a/tests/net/console_test.cpp
+++ b/tests/net/console_test.cpp
@@ -205,7 +205,9 @@
 }
 
 // Seen on a day with new settings: after SIGHUP clients named a new class and got 400 for most of the day.
-TEST_CASE("a class added by a reload is served, and an effect no class had is not taken") {
+TEST_CASE(
+    "a class added by a reload is served, a dropped one ends its open calls, and an odd effect is not "
+    "taken") {
   Rig rig;
   Host worker;
   rig.Know({&worker});
@@ -213,13 +215,25 @@
   Peer before = rig.Client();
   before.Say(fresh);
   rig.Hears(before, "HTTP/1.1 400");
-  rig.acceptor.Retune({"check", "look"}, {kBound, kBound},
-                      {sandstand::Effect::kSafe, sandstand::Effect::kSafe});
+  // The reload drops "check" while one of its calls is open: it keeps its class and gets its answer.
+  Peer open = rig.Client();
+  open.Say(Check("c1"));
+  Peer& open_at = rig.Request(worker, "c1");
+  rig.acceptor.Retune({"look"}, {kBound}, {sandstand::Effect::kSafe});
+  open_at.text.clear();
+  open_at.Say(Answer(200, "checked"));
+  rig.Hears(open, "checked");
   Peer after = rig.Client();
   after.Say(fresh);
   Peer& at = rig.Request(worker, "n1");
+  at.text.clear();
   at.Say(Answer(200, "looked"));
   rig.Hears(after, "looked");
+  // An effect that no class of the start has is not taken: the module could not decide it.
+  rig.acceptor.Retune({"odd"}, {kBound}, {static_cast<sandstand::Effect>(99)});
+  Peer odd = rig.Client();
+  odd.Say("GET /api HTTP/1.1\r\nHost: x\r\nRequest-Id: o1\r\nRequest-Class: odd\r\n\r\n");
+  rig.Hears(odd, "HTTP/1.1 400");
 }
 
 }  // namespace
