Keep held workers for a successor as JSON through jsoncpp, not a line format of our own

On review the held file was parsed by hand where the library the program links already does it. src/membership/held keeps the pure state; src/state/held_file writes and reads it with its format and version, and refuses a file cut short anywhere, foreign, of another version or with wrong types (table test).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -23,6 +23,7 @@
 #include "net/log.hpp"
 #include "net/loop.hpp"
 #include "net/worker.hpp"
+#include "state/held_file.hpp"
 
 namespace dappletiller {
 namespace {
@@ -152,7 +153,7 @@
   std::string HeldPath() const {
     const char* dir = std::getenv("TMPDIR");
     std::string base = dir != nullptr && *dir != '\0' ? dir : "/tmp";
-    return base + "/dappletiller-" + config_.name + ".held";
+    return base + "/dappletiller-" + config_.name + ".held.json";
   }
 
   void LoadHeld() {
@@ -160,9 +161,9 @@
     if (!file) return;
     std::ostringstream text;
     text << file.rdbuf();
-    if (!gateway_.LoadHeld(text.str())) {
-      log_.Line("held workers: %s is not whole or not ours; ignored", HeldPath().c_str());
-    }
+    auto held = state::HeldFromJson(text.str());
+    if (!held) return log_.Line("held workers: %s is not whole or not ours; ignored", HeldPath().c_str());
+    gateway_.Restore(std::move(*held));
   }
 
   void SaveHeld() {
@@ -170,7 +171,7 @@
     std::string temporary = path + "." + std::to_string(::getpid());
     {
       std::ofstream file(temporary, std::ios::binary | std::ios::trunc);
-      file << gateway_.SaveHeld();
+      file << state::HeldToJson(gateway_.held());
       if (!file.flush()) {
         log_.Line("held workers: %s cannot be written; a successor will not know them", temporary.c_str());
         return;
--- a/src/membership/held.hpp
+++ b/src/membership/held.hpp
@@ -1,16 +1,15 @@
 // Workers that the operators have taken out of service for this proxy ("detach") and put back ("attach").
 // Pure: no socket, file or clock; times are handed in. A held worker counts as draining whatever discovery
 // says, until it is put back; then it counts as started at that moment, so that it is treated as cold.
-// The state travels to a successor process as text (Save/Load); text that is not ours is refused whole.
+// The state travels to a successor process through `src/state/held_file`.
 #ifndef DAPPLETILLER_MEMBERSHIP_HELD_HPP_
 #define DAPPLETILLER_MEMBERSHIP_HELD_HPP_
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
-#include <string_view>
+#include <utility>
 
 namespace dappletiller::membership {
 
@@ -29,9 +28,12 @@
   void Forget(const std::string& uid) { back_.erase(uid); }
   std::size_t size() const { return held_.size(); }
 
-  std::string Save() const;
-  // Replaces all with what `text` holds; nothing changes if it is not whole and of this version.
-  bool Load(std::string_view text);
+  const std::set<std::string>& detached() const { return held_; }
+  const std::map<std::string, Micros>& returned() const { return back_; }
+  // As a predecessor left it: workers held, and when those put back came back.
+  Held(std::set<std::string> detached, std::map<std::string, Micros> returned)
+      : held_(std::move(detached)), back_(std::move(returned)) {}
+  Held() = default;
 
  private:
   std::set<std::string> held_;
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -39,9 +39,9 @@
   // return, cold. False: discovery never named it. Repeating either is harmless.
   bool Detach(const std::string& uid);
   bool Attach(const std::string& uid);
-  // What is held, to hand to a successor; Load replaces it (false: the text was not whole, nothing changed).
-  std::string SaveHeld() const { return held_.Save(); }
-  bool LoadHeld(std::string_view text) { return held_.Load(text); }
+  // What is held, to hand to a successor, and what a predecessor handed on.
+  const membership::Held& held() const { return held_; }
+  void Restore(membership::Held held) { held_ = std::move(held); }
 
   // Counts for the line that is logged once a second while anything passes; other parts add theirs.
   Tally& tally();
