--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -303,23 +303,7 @@
 }
 
 void Acceptor::Listen() {
-  auto check = [](bool fine, const char* what) {
-    if (!fine) throw std::system_error(errno, std::generic_category(), what);
-  };
-  listener_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  check(static_cast<bool>(listener_), "socket");
-  int on = 1;
-  ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(options_.listen.address);
-  address.sin_port = htons(options_.listen.port);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  socklen_t size = sizeof address;
-  check(::bind(listener_.get(), generic, size) == 0, "bind");
-  check(::listen(listener_.get(), SOMAXCONN) == 0, "listen");
-  check(::getsockname(listener_.get(), generic, &size) == 0, "getsockname");
-  port_ = ntohs(address.sin_port);
+  listener_ = ListenOn(options_.listen, SOMAXCONN, "listen", &port_);
   Watch();
 }
 
--- a/src/net/console.cpp
+++ b/src/net/console.cpp
@@ -1,6 +1,5 @@
 #include "net/console.hpp"
 
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -68,25 +67,9 @@
 }
 
 void Console::Listen(const Endpoint& where) {
-  auto check = [](bool fine, const char* what) {
-    if (!fine) throw std::system_error(errno, std::generic_category(), std::string("console ") + what);
-  };
-  listener_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  check(static_cast<bool>(listener_), "socket");
-  int on = 1;
-  ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(where.address);
-  address.sin_port = htons(where.port);
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  socklen_t size = sizeof address;
-  check(::bind(listener_.get(), generic, size) == 0, "bind");
-  check(::listen(listener_.get(), 64) == 0, "listen");
-  check(::getsockname(listener_.get(), generic, &size) == 0, "getsockname");
-  port_ = ntohs(address.sin_port);
+  listener_ = ListenOn(where, 64, "console", &port_);
   token_ = loop_.Watch(listener_.get(), this);
-  check(token_ != 0, "epoll_ctl");
+  if (token_ == 0) throw std::system_error(errno, std::generic_category(), "console: epoll_ctl");
 }
 
 void Console::OnReady(std::uint32_t) {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,6 +1,8 @@
 #include "net/loop.hpp"
 
+#include <netinet/in.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -10,6 +12,7 @@
 #include <chrono>
 #include <cstdarg>
 #include <cstdio>
+#include <string>
 #include <system_error>
 
 #include "net/log.hpp"
@@ -171,4 +174,25 @@
   set_ = false;
 }
 
+Fd ListenOn(const Endpoint& where, int backlog, const char* what, std::uint16_t* port) {
+  auto check = [what](bool fine, const char* call) {
+    if (!fine) throw std::system_error(errno, std::generic_category(), std::string(what) + ": " + call);
+  };
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  check(static_cast<bool>(fd), "socket");
+  int on = 1;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(where.address);
+  address.sin_port = htons(where.port);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  socklen_t size = sizeof address;
+  check(::bind(fd.get(), generic, size) == 0, "bind");
+  check(::listen(fd.get(), backlog) == 0, "listen");
+  check(::getsockname(fd.get(), generic, &size) == 0, "getsockname");
+  *port = ntohs(address.sin_port);
+  return fd;
+}
+
 }  // namespace dappletiller
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -30,6 +30,10 @@
   int fd_ = -1;
 };
 
+// A non-blocking TCP listener on `where` (port 0: the kernel's choice), and the port it got. Throws
+// std::system_error naming `what` and the call that failed.
+Fd ListenOn(const Endpoint& where, int backlog, const char* what, std::uint16_t* port);
+
 class EventSink {
  public:
   virtual void OnReady(std::uint32_t events) = 0;
