--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -876,27 +876,14 @@
   return caller.text.size() > 12 ? std::atoi(caller.text.c_str() + 9) : 0;
 }
 
-// The platform's listening socket, handed down as descriptor `fd` (not closed on exec).
+// The platform's listening socket, handed down to each process.
 struct Platform {
-  Platform() {
-    Fd made(::socket(AF_INET, SOCK_STREAM, 0));
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(kLoopback);
-    socklen_t size = sizeof at;
-    REQUIRE(::bind(made.get(), reinterpret_cast<sockaddr*>(&at), size) == 0);
-    REQUIRE(::listen(made.get(), 64) == 0);
-    REQUIRE(::getsockname(made.get(), reinterpret_cast<sockaddr*>(&at), &size) == 0);
-    port = ntohs(at.sin_port);
-    socket = std::move(made);
-  }
   std::vector<std::pair<std::string, std::string>> Env(const std::string& tmp) const {
-    return {{"BALANCER_SOCKET_FD", std::to_string(socket.get())},
+    return {{"BALANCER_SOCKET_FD", std::to_string(socket.fd())},
             {"BALANCER_CONSOLE", "127.0.0.1:0"},
             {"TMPDIR", tmp}};
   }
-  Fd socket;
-  std::uint16_t port = 0;
+  Host socket{true};
 };
 
 TEST_CASE("upgrade: detach, a successor on the same socket, attach there; a successor that can't start") {
@@ -908,7 +895,7 @@
   auto first = std::make_unique<Program>(ProgramConfig(1, worker.port), platform.Env(tmp));
   std::uint16_t console = PortAfter(outside, *first, "console on port ");
   CHECK(Ask(outside, console, "GET /_ready") == 200);
-  Peer client = Peer::Dial(platform.port);  // served through the platform's socket
+  Peer client = Peer::Dial(platform.socket.port);  // served through the platform's socket
   client.Say(Check("u1"));
   Peer& at = outside.Request(worker, "u1");
   at.Say(Answer(200, "on the platform's socket"));
@@ -921,7 +908,7 @@
   for (const char* turn : {"on", "off", "on", "off"}) {
     CAPTURE(turn);
     CHECK(Ask(outside, console, std::string("PUT /_lameduck/") + turn) == 200);
-    Peer probe = Peer::Dial(platform.port);
+    Peer probe = Peer::Dial(platform.socket.port);
     probe.Say("GET /up HTTP/1.1\r\n\r\n");
     outside.Hears(probe, std::string(turn) == "on" ? "HTTP/1.1 503" : "HTTP/1.1 200");
   }
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -73,7 +73,9 @@
 // A listening socket on a port of the kernel's choice.
 class Host {
  public:
-  Host() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+  // `handed_down`: kept open across exec, as the platform's socket is for the program.
+  explicit Host(bool handed_down = false)
+      : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | (handed_down ? 0 : SOCK_CLOEXEC), 0)) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(kLoopback);
@@ -90,6 +92,7 @@
     return true;
   }
   Endpoint endpoint() const { return {kLoopback, port}; }
+  int fd() const { return fd_.get(); }
   void Close() { fd_.Reset(); }
   std::uint16_t port = 0;
   std::vector<Peer> peers;
