Follow a pushed list of workers without waiting for the module to ask for it

Ruled out: connections kept to drained workers (dialled anew too), retries (most broken sends were first attempts), the agent (never called).

Discovery now follows the agent by itself where the settings say push: from the start, with a wait of 1 s, and 0.1 s after a failure. Tests: the agent followed through every kind of failure and a drain heard, and the program itself; both fail without Discovery::Start.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -83,7 +83,7 @@
         acceptor_(loop_, log_, gateway_, budget_, Accepting(config_)),
         discovery_(loop_, log_, gateway_,
                    {config_.discovery, config_.discovery_text, config_.names, config_.known.version,
-                    config_.settings.ask_within}),
+                    config_.settings.ask_within, !config_.settings.list_on_request}),
         console_(loop_, log_, *this),
         drain_timer_(loop_) {
     gateway_.Connect(workers_, discovery_);
@@ -98,6 +98,7 @@
       acceptor_.Listen();
     }
     gateway_.Learn(config_.known);
+    discovery_.Start();
     if (auto at = ConsoleAt(config_)) {
       console_.Listen(*at);
       log_.Line("console on port %u", console_.port());
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -8,6 +8,11 @@
 
 constexpr Micros kAnswerTime = 2'000'000;    // beyond the wait that the call itself allows
 constexpr Micros kLongestWait = 60'000'000;  // that discovery grants
+// Lists that are pushed: an agent that was silent has its news taken within wait and answer time of being
+// back. Its calls cost nothing, and what it has counts as told.
+constexpr Micros kPushedWait = 1'000'000;
+constexpr Micros kPushedAnswerTime = 500'000;
+constexpr Micros kPushedRetry = 100'000;
 
 }  // namespace
 
@@ -74,10 +79,24 @@
 };
 
 Discovery::Discovery(Loop& loop, Log& log, Gateway& gateway, DiscoveryOptions options)
-    : loop_(loop), log_(log), gateway_(gateway), options_(std::move(options)), version_(options_.version) {}
+    : loop_(loop),
+      log_(log),
+      gateway_(gateway),
+      options_(std::move(options)),
+      version_(options_.version),
+      again_(loop) {}
 
 Discovery::~Discovery() = default;
 
+void Discovery::Start() {
+  if (options_.pushed) Watch();
+}
+
+Micros Discovery::WatchWait() const {
+  // Where it is asked, half of what may pass without asking: a silent discovery is noticed in time.
+  return options_.pushed ? kPushedWait : std::min(kLongestWait, options_.ask_within / 2);
+}
+
 // The first call of a watch doesn't wait, so that the module soon knows that it is subscribed and what it
 // missed. A call already out will bring that news as well.
 void Discovery::Watch() { Ask(watch_, true, 0); }
@@ -107,7 +126,7 @@
     target += "?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait / 1000);
   }
   ++gateway_.tally().list_calls;
-  asker->Ask(target, wait + kAnswerTime);
+  asker->Ask(target, wait + (options_.pushed ? kPushedAnswerTime : kAnswerTime));
 }
 
 void Discovery::Answered(Asker& asker, const http::Message& answer) {
@@ -118,9 +137,8 @@
   bool old = !asker.watch && !whole_ && list->version < version_;
   if (!old) version_ = list->version;
   if (list->kind == WorkerList::Kind::kFull) whole_ = false;
-  // The next call of the watch leaves first: it has to come within 200 ms, whatever the list sets off. Its
-  // wait is half of what may pass without asking, so that a silent discovery is noticed in time.
-  if (asker.watch) Ask(watch_, true, std::min(kLongestWait, options_.ask_within / 2));
+  // The next call of the watch leaves first: it has to come within 200 ms, whatever the list sets off.
+  if (asker.watch) Ask(watch_, true, WatchWait());
   if (!old) gateway_.Learn(*list);
 }
 
@@ -129,6 +147,11 @@
   asker.timer.Clear();
   ++gateway_.tally().list_failures;
   log_.Line("discovery: a %s failed: %s", asker.watch ? "watch" : "fetch", why);
+  if (options_.pushed) {
+    // The module knows no calls here that could fail: the list goes on being followed below it.
+    if (asker.watch) again_.Set(kPushedRetry, [this] { Watch(); });
+    return;
+  }
   WorkerList failed;
   failed.kind = WorkerList::Kind::kFailed;
   gateway_.Learn(failed);
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -19,6 +19,8 @@
   Names names;
   std::uint64_t version = 0;  // of the list that is held at the start
   Micros ask_within = 0;
+  // The list is pushed: the address is an agent on this machine, which is asked without the module's word.
+  bool pushed = false;
 };
 
 class Discovery final : public ListSource {
@@ -26,6 +28,8 @@
   Discovery(Loop& loop, Log& log, Gateway& gateway, DiscoveryOptions options);
   ~Discovery();
 
+  // Where lists are pushed, follows them from now on for as long as it lives; else waits for the module.
+  void Start();
   void Watch() override;
   void Fetch() override;
   // Goes on at another address, beginning with the whole list: a version there may mean something else.
@@ -34,6 +38,7 @@
  private:
   class Asker;
   void Ask(std::unique_ptr<Asker>& asker, bool watch, Micros wait);
+  Micros WatchWait() const;
   void Answered(Asker& asker, const http::Message& answer);
   void Failed(Asker& asker, const char* why);
 
@@ -45,6 +50,7 @@
   bool whole_ = false;  // the version held is not this discovery's: only the whole list will do
   std::unique_ptr<Asker> watch_;
   std::unique_ptr<Asker> fetch_;
+  Timer again_;  // pushed lists: until the next call after a failed one
 };
 
 }  // namespace dappletiller
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -606,6 +606,38 @@
   Question(rig, "/discovery/hosts?after=41&wait_ms=0");
 }
 
+std::string Listed(const std::string& uid, const Host& at, const std::string& state = "up") {
+  return R"({"uid":")" + uid + R"(","endpoint":"127.0.0.1:)" + std::to_string(at.port) +
+         R"(","az":"here","model":"plain","state":")" + state + R"(","boot_ms":0})";
+}
+
+// Guards against a proxy that never hears of a drain: where lists are pushed the module asks for none, so the
+// agent has to be followed without its word, also after every way in which a call can fail.
+TEST_CASE("a pushed list is followed from the start, without the module's word, and after failures") {
+  Rig rig(Rules(), kBound, 64, 8, 64, true);
+  Host leaving, staying;
+  const std::string first = "/discovery/hosts?after=41&wait_ms=0";
+  Question(rig, first).Say(Answer(503));
+  Question(rig, first).Abort();
+  Question(rig, first).Say(Answer(200, "{]"));
+  Question(rig, first).Close();
+  Question(rig, first).Say(Answer(200, R"({"rev":43,"all":true,"targets":[)" + Listed("a", leaving) + "]}"));
+  Peer& watch = Question(rig, "/discovery/hosts?after=43&wait_ms=1000");
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  rig.Request(leaving, "a1").Say(Answer(200, "one"));
+  rig.Hears(client, "one");
+  // Told of a drain by the watch, the next call goes elsewhere.
+  watch.Say(Answer(200, R"({"rev":44,"all":false,"targets":[)" + Listed("a", leaving, "draining") + "," +
+                            Listed("b", staying) + "]}"));
+  Question(rig, "/discovery/hosts?after=44&wait_ms=1000");
+  for (const char* id : {"a2", "a3", "a4"}) {
+    client.Say(Check(id));
+    rig.Request(staying, id).Say(Answer(200, id));
+    rig.Hears(client, std::string("\r\n\r\n") + id);
+  }
+}
+
 // Guards against a discovery that is down taking the serving down with it, or undoing what it told before.
 TEST_CASE("while discovery fails calls go on from the list that is known, and a drain told before is kept") {
   Rig rig(Asking());
@@ -768,7 +800,8 @@
   pid_t pid_ = 0;
 };
 
-std::string ProgramConfig(std::uint16_t port, std::uint16_t worker, std::uint16_t discovery = 1) {
+std::string ProgramConfig(std::uint16_t port, std::uint16_t worker, std::uint16_t discovery = 1,
+                          const std::string& mode = "ask") {
   std::string local = "\"127.0.0.1:";
   return "{\"name\":\"n0\",\"listen\":" + local + std::to_string(port) + "\",\"discovery\":" + local +
          std::to_string(discovery) +
@@ -777,7 +810,8 @@
          "\"endpoint\":" +
          local + std::to_string(worker) + "\",\"az\":\"a\",\"state\":\"up\"}]}," +
          R"("settings":{"balancers":1,"zones":["a"],"zone":0,"kinds":["m"],"classes":[{"name":"check",
-         "aim":4000000,"giveUp":20000000,"effect":"free"}],"registryMode":"ask","tick":5000,
+         "aim":4000000,"giveUp":20000000,"effect":"free"}],"registryMode":")" +
+         mode + R"(","tick":5000,
          "invariants":{"askEvery":10000000,"cold":22000000,"fall":2000000,"startCapacity":0.13,"tipMultiple":2.5,
          "graceToAnswer":20000},"limits":{"maxAttempts":5,"mayCancel":true,"dialTimeout":250000,
          "connIdle":15000000}}})";
@@ -804,6 +838,18 @@
   CHECK(program.Wait() == 0);
 }
 
+TEST_CASE("the program follows the agent where the settings say that lists are pushed") {
+  Host worker, agent;
+  Program program(ProgramConfig(0, worker.port, agent.port, "push"));
+  Rig outside;  // for its bounded waits only
+  outside.Until("the agent is asked", [&] {
+    agent.Accept();
+    return !agent.peers.empty() && agent.peers[0].Has("GET /discovery/hosts?after=1&wait_ms=0 HTTP/1.1\r\n");
+  });
+  program.Signal(SIGTERM);
+  CHECK(program.Wait() == 0);
+}
+
 // Guards against a reload that ends the program, or anything that it holds.
 TEST_CASE("SIGHUP: a bad file changes nothing, a good one moves discovery, and calls stay") {
   Host worker, registry;
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -128,7 +128,7 @@
 class Rig {
  public:
   explicit Rig(const sandstand::Settings& rules = Rules(), Micros idle = kBound, std::size_t connections = 64,
-               std::size_t kept = 8, std::size_t places = 64)
+               std::size_t kept = 8, std::size_t places = 64, bool pushed = false)
       : gateway(loop, log, rules),
         budget(connections, kept),
         workers(loop, log, gateway, budget, {kBound, idle}),
@@ -141,9 +141,10 @@
                   kBound,
                   {}}),
         discovery(loop, log, gateway,
-                  {registry.endpoint(), "discovery", {{"here"}, {"plain"}}, 41, rules.ask_within}) {
+                  {registry.endpoint(), "discovery", {{"here"}, {"plain"}}, 41, rules.ask_within, pushed}) {
     gateway.Connect(workers, discovery);
     acceptor.Listen();
+    discovery.Start();
   }
 
   void Know(const std::vector<Host*>& hosts, WorkerList::Kind kind = WorkerList::Kind::kCached,
