Count each call against the tenant that it names, not the first one's

Arrival had no place for it; Acceptor::Call and Gateway::Arrive are at fault.

The names come from the settings. A doubled Tenant header is a 400. The test fails without the line in the gateway.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -115,6 +115,7 @@
     options.listen = config.listen;
     options.places = config.sockets / kPlacesPart;
     options.classes = config.classes;
+    options.tenants = config.tenants;
     for (const auto& c : config.settings.classes) {
       options.patience.push_back(c.deadline);
       options.effects.push_back(c.effect);
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -29,9 +29,9 @@
 constexpr int kHintTimes = 16;  // hints of more than this many times a class's patience are no hints
 
 // Doubled, these would mean one thing to us and perhaps another to a worker.
-constexpr std::array<std::string_view, 8> kOnce = {
+constexpr std::array<std::string_view, 9> kOnce = {
     "Request-Id",   "Request-Class", "Request-Timeout", "Idempotency-Key", "Work-Hint",
-    "Client-Retry", "Host",          "Request-Info"};
+    "Client-Retry", "Host",          "Request-Info",    "Tenant"};
 
 }  // namespace
 
@@ -183,6 +183,8 @@
       return Reject(409, "a call with this Request-Id is open");
     Arrival arrival;
     arrival.call_class = acceptor_.options_.decided_as[place];
+    auto tenant = acceptor_.tenant_of_.find(std::string(request->Find("Tenant").value_or("")));
+    if (tenant != acceptor_.tenant_of_.end()) arrival.tenant = tenant->second;
     Micros patience = acceptor_.options_.patience[place];
     Micros most_hint = kHintTimes * patience;
     if (auto stated = request->Find("Request-Timeout")) {
@@ -261,6 +263,9 @@
     if (options_.decided_as.size() <= i) options_.decided_as.push_back(static_cast<int>(i));
   }
   modules_classes_ = options_.classes.size();
+  for (std::size_t i = 0; i < options_.tenants.size(); ++i) {
+    tenant_of_[options_.tenants[i]] = static_cast<int>(i);
+  }
 }
 
 void Acceptor::Retune(const std::vector<std::string>& names, const std::vector<Micros>& patience,
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -29,6 +29,7 @@
   // Of a class: the module's class that decides for it; empty: the same place. A class that came with a
   // reload is decided as the module's class of the same effect with the nearest deadline.
   std::vector<int> decided_as;
+  std::vector<std::string> tenants = {};  // by their places in the settings
 };
 
 class Acceptor final : private EventSink {
@@ -79,6 +80,7 @@
   Budget& budget_;
   AcceptorOptions options_;
   std::unordered_map<std::string, int> class_of_;
+  std::unordered_map<std::string, int> tenant_of_;
   std::size_t modules_classes_ = 0;           // the classes that the module was made with come first
   std::unordered_set<std::string> open_ids_;  // of the calls that are open
   std::vector<char> waste_;                   // where what nobody will read goes
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -170,6 +170,8 @@
   config.settings = sandstand::wire::ParseSettings(lines, number);
   config.settings_text = std::move(lines);
   for (const Json::Value& c : Member(settings, "classes")) config.classes.push_back(Text(c, "name"));
+  // Sites without tenants may leave the list out.
+  for (const Json::Value& t : settings["tenants"]) config.tenants.push_back(Text(t, "name"));
   config.names.zones = Strings(settings, "zones");
   config.names.kinds = Strings(settings, "kinds");
   const Json::Value& limits = Member(settings, "limits");
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -36,6 +36,7 @@
   sandstand::Settings settings;
   std::string settings_text;  // the same as path=value lines, to tell whether they have changed
   std::vector<std::string> classes;
+  std::vector<std::string> tenants;  // names, by place; may be none
   Names names;
   Micros dial_timeout = 0;
   Micros idle_timeout = 0;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -120,6 +120,7 @@
   sandstand::RequestArrived event;
   event.id = id;
   event.request_class = arrival.call_class;
+  event.tenant = arrival.tenant;
   event.deadline = arrival.deadline;
   event.work_hint = arrival.work_hint.value_or(0);
   event.has_hint = arrival.work_hint.has_value();
--- a/src/net/types.hpp
+++ b/src/net/types.hpp
@@ -34,6 +34,7 @@
 
 struct Arrival {
   int call_class = 0;
+  int tenant = -1;      // its place in the settings; -1: none that they name
   Micros deadline = 0;  // when the client gives up
   std::optional<Micros> work_hint;
   bool client_retry = false;
--- a/tests/net/parser_test.cpp
+++ b/tests/net/parser_test.cpp
@@ -212,7 +212,8 @@
          kEntry + R"(]},"settings":{"balancers":2,"zones":["a","b"],"zone":1,"kinds":["m1","m2"],
   "classes":[{"name":"limit-check","aim":1200000,"giveUp":2500000,"effect":"free","worth":3.0},
   {"name":"plan-open","aim":1500000,"giveUp":4000000,"effect":"guarded","group":"cell","window":4000000}],
-  "registryMode":"ask","tick":5000,"tenants":[],"report":{"source":"off","columns":[]},
+  "registryMode":"ask","tick":5000,"tenants":[{"name":"north","portion":0.4,"quotaRps":20},
+  {"name":"south","portion":0.6,"quotaRps":30.5}],"report":{"source":"off","columns":[]},
   "invariants":{"askEvery":10000000,"cold":22000000,"fall":2000000,"startCapacity":0.13,"tipMultiple":2.5,
   "graceToAnswer":20000},
   "limits":{"maxAttempts":5,"mayCancel":true,"retryAfter":true,"maxRetryAfter":2000000,"dialTimeout":250000,
@@ -227,6 +228,8 @@
   CHECK(c.known.kind == WorkerList::Kind::kCached);
   CHECK(c.known.entries.size() == 1);
   CHECK(c.classes == std::vector<std::string>{"limit-check", "plan-open"});
+  CHECK(c.tenants == std::vector<std::string>{"north", "south"});
+  CHECK(c.settings.tenants[1].quota_per_s == 30.5);
   CHECK(c.settings.seed == 0x8c1f30d27a5be964);
   CHECK(c.settings.gateways == 2);
   CHECK(c.settings.zone == 1);
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -127,6 +127,29 @@
   }
 }
 
+// Guards against all calls counting as the first tenant's: each has its share for itself.
+TEST_CASE("a call counts against the share of the tenant that it names") {
+  sandstand::Settings rules = Rules();
+  rules.tenants = {{0, 0.001}, {0, 1000}};  // of t0 a single call is within its share
+  rules.over_share_worth = 0;
+  Rig rig(rules);
+  Host worker;
+  rig.Know({&worker});
+  auto call = [&](const std::string& id, const std::string& tenant) {
+    Peer client = rig.Client();
+    client.Say(Check(id, "Work-Hint: 1000000\r\nTenant: " + tenant + "\r\n"));
+    return client;
+  };
+  Peer first = call("a1", "t0");
+  rig.Request(worker, "a1");
+  Peer beyond = call("a2", "t0");  // a wait of a second is too much for what is worth nothing
+  rig.Hears(beyond, "HTTP/1.1 503 ");
+  Peer other = call("a3", "t1");
+  rig.Request(worker, "a3");
+  Peer doubled = call("a4", "t1\r\nTenant: t0");
+  rig.Hears(doubled, "HTTP/1.1 400 ");
+}
+
 TEST_CASE("a worker that can't be reached never ran it: another one serves") {
   Rig rig;
   Host dead, alive;
@@ -165,12 +188,12 @@
     rig.Know({&worker});
     Waiter waiter;
     Micros deadline = rig.loop.Now() + 15'000 * kMs;
-    rig.gateway.Arrive(rig.gateway.NewCall(), {1, deadline, {}, false, Parsed(Pay("a1"))}, waiter);
+    rig.gateway.Arrive(rig.gateway.NewCall(), {1, -1, deadline, {}, false, Parsed(Pay("a1"))}, waiter);
     Peer& first = rig.Request(worker, "a1");
     first.Say(Answer(200, "one"));
     rig.Until("it is served", [&] { return waiter.served == 1; });
     abort ? first.Abort() : first.Close();
-    rig.gateway.Arrive(rig.gateway.NewCall(), {1, deadline, {}, false, Parsed(Pay("a2"))}, waiter);
+    rig.gateway.Arrive(rig.gateway.NewCall(), {1, -1, deadline, {}, false, Parsed(Pay("a2"))}, waiter);
     rig.Request(worker, "a2").Say(Answer(200, "two"));
     rig.Until("it is served too", [&] { return waiter.served == 2; });
     CHECK(waiter.other == 0);
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -124,6 +124,13 @@
   return s;
 }
 
+// As many names as the settings have tenants: t0, t1 ...
+inline std::vector<std::string> Tenants(const sandstand::Settings& rules) {
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < rules.tenants.size(); ++i) names.push_back("t" + std::to_string(i));
+  return names;
+}
+
 // The proxy as main wires it, with discovery at `registry` and as many workers as the test names.
 class Rig {
  public:
@@ -139,7 +146,8 @@
                   {sandstand::Effect::kSafe, sandstand::Effect::kUnsafe, sandstand::Effect::kKeyed},
                   places,
                   kBound,
-                  {}}),
+                  {},
+                  Tenants(rules)}),
         discovery(loop, log, gateway,
                   {registry.endpoint(), "discovery", {{"here"}, {"plain"}}, 41, rules.ask_within, pushed}) {
     gateway.Connect(workers, discovery);
