Reckon tenants' shares in the limits package, tested on its own

New there: with tenants in the settings, a call that names none of them has no share, so that nobody escapes by it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -15,9 +15,11 @@
 #include <tuple>
 #include <utility>
 
+#include "limits/tenant_share.hpp"
 #include "sandstand/balancer.hpp"
 
 namespace sandstand {
+namespace limits = dappletiller::limits;
 namespace {
 
 // ---- Constants: ratios, or spans made from settings ----
@@ -50,15 +52,12 @@
 constexpr double kExtraBurst = 10;       // and how many may be saved up
 constexpr double kHoldAfterFailure = 0.2;  // of the shortest aim: first hold after a failure; doubles
 constexpr int kHoldDoublings = 6;
-constexpr int kZoneFailures = 4;     // failures in a row, across a zone, that speak for its link
-constexpr double kUntold = 0.25;     // part of ask_within in which the list may not yet tell of a restart
-constexpr double kColdFill = 0.3;    // of the work that would push a cold server over, all gateways together
-constexpr double kColdLump = 0.15;   // of that budget in one request, at most
-constexpr double kAskSpread = 0.1;   // of ask_within: before the first call; after a failed one, doubling
-constexpr double kQuotaBurst = 2;    // seconds of its quota that a tenant may use at once
-constexpr double kQuotaSlack = 1.3;  // chance at one gateway must not look like a tenant's excess
+constexpr int kZoneFailures = 4;    // failures in a row, across a zone, that speak for its link
+constexpr double kUntold = 0.25;    // part of ask_within in which the list may not yet tell of a restart
+constexpr double kColdFill = 0.3;   // of the work that would push a cold server over, all gateways together
+constexpr double kColdLump = 0.15;  // of that budget in one request, at most
+constexpr double kAskSpread = 0.1;  // of ask_within: before the first call; after a failed one, doubling
 constexpr double kSecond = 1e6;
-constexpr double kRateSeconds = 5;     // over which the rate of arrivals here is taken
 constexpr double kCrossWeight = 2;     // times the price of crossing, as a part of the aim, to be saved
 constexpr double kCutoffSamples = 50;  // hints needed before anything is called long
 
@@ -134,7 +133,8 @@
 
 class Balancer::Impl {
  public:
-  explicit Impl(const Settings& settings) : set_(settings), random_(settings.seed) {
+  explicit Impl(const Settings& settings)
+      : set_(settings), random_(settings.seed), share_(SharesOf(settings), settings.gateways) {
     if (set_.classes.empty()) throw std::invalid_argument("no request class");
     if (set_.zones < 1 || set_.zone < 0 || set_.zone >= set_.zones)
       throw std::invalid_argument("zone out of range");
@@ -148,7 +148,6 @@
     }
     zones_.resize(set_.zones);
     longest_try_.resize(set_.classes.size(), 0);
-    quota_.resize(set_.tenants.size(), Quota{});
   }
 
   void Handle(Micros now, const Event& event, std::vector<Action>* actions) {
@@ -163,10 +162,11 @@
   std::uint64_t ignored() const { return ignored_; }
 
  private:
-  struct Quota {
-    double left = std::numeric_limits<double>::infinity();  // full when first used
-    Micros at = 0;
-  };
+  static std::vector<limits::TenantShare::Share> SharesOf(const Settings& settings) {
+    std::vector<limits::TenantShare::Share> shares;
+    for (const TenantSettings& t : settings.tenants) shares.push_back({t.portion, t.quota_per_s});
+    return shares;
+  }
 
   double Uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
   void Say(std::string text) { Act(Log{std::move(text)}); }
@@ -176,7 +176,7 @@
 
   void Start() {
     started_ = true;
-    rate_at_ = cutoff_at_ = now_;
+    cutoff_at_ = now_;
     // Gateways that start together must not all ask for the list at once.
     if (set_.list_on_request) AskListIn(Uniform() * kAskSpread * set_.ask_within);
   }
@@ -870,28 +870,10 @@
     double worth = most_worth_ > 0 ? c.worth / most_worth_ : 1;
     if (!set_.worth_by_work && request.work > 0) worth *= std::min(1.0, mean_work_ / request.work);
     if (request.aim_at <= now_) worth *= c.late_worth;
-    if (OverShare(e.tenant)) worth *= set_.over_share_worth;
+    if (share_.Over(e.tenant, now_)) worth *= set_.over_share_worth;
     return worth;
   }
 
-  // A tenant is over its share when it uses up both its quota here, one gateway's part, and its portion of
-  // what this gateway carries: one with more than its part of the traffic holds that against nobody.
-  bool OverShare(int tenant) {
-    double elapsed = (now_ - rate_at_) / kSecond;
-    rate_at_ = now_;
-    rate_ = rate_ * std::exp(-elapsed / kRateSeconds) + 1 / kRateSeconds;
-    if (tenant < 0 || tenant >= static_cast<int>(quota_.size())) return false;
-    const TenantSettings& t = set_.tenants[tenant];
-    Quota& q = quota_[tenant];
-    double refill = kQuotaSlack * std::max(t.quota_per_s / set_.gateways, t.portion * rate_);
-    double most = std::max(1.0, kQuotaBurst * refill);
-    q.left = std::min(most, q.left + refill * (now_ - q.at) / kSecond);
-    q.at = now_;
-    if (q.left < 1) return true;
-    q.left -= 1;
-    return false;
-  }
-
   // How long it may wait and still be worth its place; the less it is worth the sooner it is refused. Queues
   // are shared: a class with a wide aim must not fill them beyond what that with the shortest can bear.
   double Patience(const Request& request, double service) const {
@@ -1005,9 +987,7 @@
   Micros wake_at_ = -1;
   double extra_ = kExtraBurst;
   std::vector<Micros> longest_try_;
-  std::vector<Quota> quota_;
-  double rate_ = 0;  // requests a second arriving here
-  Micros rate_at_ = 0;
+  limits::TenantShare share_;
 };
 
 Balancer::Balancer(const Settings& settings) : impl_(std::make_unique<Impl>(settings)) {}
--- /dev/null
+++ b/src/limits/tenant_share.hpp
@@ -0,0 +1,47 @@
+// Whether a tenant's call is within its share of the service.
+//
+// A tenant is over its share when it uses up both its quota at this proxy, an even part of the whole quota,
+// and its portion of what this proxy carries: one with more than its part of the traffic holds that against
+// nobody. Chance alone must not look like excess, so some slack and a burst are granted.
+//
+// Knows no clock and no socket: times are microseconds that never go back. Memory is fixed by the number of
+// tenants. Not thread-safe.
+#ifndef DAPPLETILLER_LIMITS_TENANT_SHARE_HPP_
+#define DAPPLETILLER_LIMITS_TENANT_SHARE_HPP_
+
+#include <cstdint>
+#include <limits>
+#include <vector>
+
+namespace dappletiller::limits {
+
+class TenantShare {
+ public:
+  using Micros = std::int64_t;
+  struct Share {
+    double portion = 0;      // of the service, 0 to 1
+    double quota_per_s = 0;  // calls a second within its share, over all proxies
+  };
+
+  // `proxies` (at least 1) divide the quotas evenly; their clocks and counts are their own.
+  TenantShare(std::vector<Share> shares, int proxies);
+
+  // Takes note of one call at `now` and tells whether it is beyond its tenant's share. Where no tenants are
+  // set none is; where some are, one that they don't name (-1) has no share.
+  bool Over(int tenant, Micros now);
+
+ private:
+  struct Account {
+    double left = std::numeric_limits<double>::infinity();  // full when first used
+    Micros at = 0;
+  };
+  std::vector<Share> shares_;
+  double proxies_;
+  std::vector<Account> accounts_;
+  double rate_ = 0;  // calls a second arriving here
+  Micros rate_at_ = 0;
+};
+
+}  // namespace dappletiller::limits
+
+#endif  // DAPPLETILLER_LIMITS_TENANT_SHARE_HPP_
