Hold a failure against a worker only where failures are not usual everywhere

A probe of each delegation's end: 15 to 30% reset at every worker, on both proxies. Ruled out: rests of connections (new ones break as often), closes by the worker (resets after 0 to 100 ms alike), one ill worker. At fault: NoteFailure and Barred in choice.cpp left a worker alone for 90 to 150 ms after each single reset, so about half of all at any time.

Errors and resets now count against a worker only when a run as long is unlikely (0.1) by the running part of all delegations that end so; refused connections and time-outs as before. Tests: one fails with the old rule, one with a rule that never holds.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -52,6 +52,7 @@
 constexpr double kExtraBurst = 10;       // and how many may be saved up
 constexpr double kHoldAfterFailure = 0.2;  // of the shortest aim: first hold after a failure; doubles
 constexpr int kHoldDoublings = 6;
+constexpr double kByChance = 0.1;   // a run of failures that is likelier than this by chance tells nothing
 constexpr int kZoneFailures = 4;    // failures in a row, across a zone, that speak for its link
 constexpr double kUntold = 0.25;    // part of ask_within in which the list may not yet tell of a restart
 constexpr double kColdFill = 0.3;   // of the work that would push a cold server over, all gateways together
@@ -344,6 +345,7 @@
         zone.held_until = 0;
         server.failures = 0;
         server.held_until = 0;
+        usual_failures_ -= kSmooth * usual_failures_;
         server.heard = std::max(server.heard, attempt.sent);
         tail_ = std::max(1.0, tail_ * Step(latency > tail_ * attempt.expected));
         if (request.hinted && latency > 0 && request.work >= mean_work_) {
@@ -375,9 +377,16 @@
         break;
       case Outcome::kConnectFailed:
         NoteZoneFailure(server.entry.zone);
-        [[fallthrough]];
-      default:
         NoteFailure(server);
+        break;
+      default:
+        // Guards against holding back all servers where all of them fail now and then: only a run of failures
+        // that the usual part of them hardly explains speaks against this one.
+        usual_failures_ += kSmooth * (1 - usual_failures_);
+        if (std::pow(usual_failures_, server.failures + 1) > kByChance)
+          server.failures++;
+        else
+          NoteFailure(server);
     }
   }
 
@@ -461,7 +470,7 @@
 
   // After failures a server gets one trial at a time until it answers.
   bool Barred(const Server& server) const {
-    return server.failures > 0 && (now_ < server.held_until || !server.out.empty());
+    return server.held_until > 0 && (now_ < server.held_until || !server.out.empty());
   }
 
   // ---- Cold starts ----
@@ -978,6 +987,7 @@
   double cutoff_ = std::numeric_limits<double>::infinity();
   Micros cutoff_at_ = 0;
   std::map<int, std::pair<double, int>> pace_;  // a kind: service time = work x pace / size; samples
+  double usual_failures_ = 0;                   // running part of attempts that ended in an error or reset
   double tail_ = 2;                             // quantile of latency over what was expected
   double surprise_ = 0;                         // median by which answers waited longer than expected
 
--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 
 #include "harness.hpp"
 
@@ -199,6 +200,48 @@
   EXPECT_LT(tried, 25);
 }
 
+// Four servers; request `id` ends as `outcome(id, server)` says, a few milliseconds after it came.
+template <typename F>
+std::map<ServerId, int> Serve(Gateway& g, int requests, const F& outcome) {
+  std::map<ServerId, int> sent;
+  for (RequestId id = 1; id <= static_cast<RequestId>(requests); ++id) {
+    g.now += 20 * kMs;
+    g.Arrive(id, kShort, kUnsafeClass);
+    if (!g.Sent(id)) continue;
+    sent[g.ServerOf(id)]++;
+    g.now += 10 * kMs;
+    g.End(id, outcome(id, g.ServerOf(id)));
+  }
+  return sent;
+}
+
+// Guards against half the fleet being left alone, and calls refused, while every server fails now and then: a
+// failure that is usual everywhere tells nothing about the server where it happened.
+TEST(Health, AFailureThatIsUsualEverywhereHoldsNoServerBack) {
+  Gateway g(BasicSettings());
+  g.List({Entry(1), Entry(2), Entry(3), Entry(4)});
+  Serve(g, 400, [](RequestId id, ServerId) { return id % 5 == 0 ? Outcome::kReset : Outcome::kServed; });
+  g.Arrive(500, kShort, kUnsafeClass);
+  ServerId failed = g.ServerOf(500);
+  g.End(500, Outcome::kReset);
+  std::set<ServerId> used;
+  for (RequestId id = 501; id <= 504; ++id) {
+    g.Arrive(id, kShort, kUnsafeClass);
+    used.insert(g.ServerOf(id));
+  }
+  EXPECT_EQ(used.count(failed), 1u);
+}
+
+// Guards against the reverse: one that fails alone is told from the others by its first failures.
+TEST(Health, AServerThatAloneFailsIsLeftToTrials) {
+  Gateway g(BasicSettings());
+  g.List({Entry(1), Entry(2), Entry(3), Entry(4)});
+  auto sent = Serve(
+      g, 400, [](RequestId, ServerId server) { return server == 3 ? Outcome::kError : Outcome::kServed; });
+  EXPECT_LT(sent[3], 30);
+  EXPECT_GT(sent[1], 100);
+}
+
 // Guards against: a hung server keeps its full share of turns; it gets one trial at a time, ever more rarely.
 TEST(Health, AHungServerGetsATrickleAndComesBackByOneTrial) {
   Gateway g(BasicSettings());
