Send elsewhere what still waits for its connection when its worker drains

Found by going through every path that can send, as the drain window of 0.5 s asks: a call that waits for its connection (up to dialTimeout) was sent whenever that came up, whatever had been told meanwhile. Ruled out: retries, repeats and held calls (the module knows the state), resting connections (closed on the drain), and sends below the module (none). At fault: WorkerLinks::Release closed idle connections only.

Release now ends what has not begun to be sent as unreachable, also when a worker goes or moves; the gateway tells the module of the list first, so that it is not sent to another that leaves. The test causes all three and fails without it.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -218,6 +218,7 @@
   sandstand::ListUpdate event;
   event.kind = Translate(list.kind);
   std::set<std::string> named;
+  std::vector<WorkerId> draining, gone;
   for (const WorkerEntry& listed : list.entries) {
     auto [it, fresh] = workers_by_uid_.try_emplace(listed.uid);
     Known& known = it->second;
@@ -235,7 +236,7 @@
     }
     named.insert(entry.uid);
     if (entry.state != WorkerState::kGone) workers_->Locate(known.id, entry.endpoint);
-    if (entry.state == WorkerState::kDraining) workers_->Release(known.id);
+    if (entry.state == WorkerState::kDraining) draining.push_back(known.id);
     sandstand::ServerEntry server;
     server.id = known.id;
     server.zone = entry.zone;
@@ -248,18 +249,21 @@
     server.started_at = entry.boot_unix;
     event.entries.push_back(server);
     if (entry.state != WorkerState::kGone) continue;
-    workers_->Forget(known.id);
+    gone.push_back(known.id);
     workers_by_uid_.erase(it);
   }
   // Guards against tables that grow for as long as workers are replaced: who is gone is forgotten.
   if (list.kind == WorkerList::Kind::kFull || list.kind == WorkerList::Kind::kCached) {
     std::erase_if(workers_by_uid_, [&](const auto& known) {
       bool absent = named.count(known.first) == 0;
-      if (absent) workers_->Forget(known.second.id);
+      if (absent) gone.push_back(known.second.id);
       return absent;
     });
   }
+  // The module hears first: what is called off below must not be sent to another that is leaving too.
   Deliver(std::move(event));
+  for (WorkerId id : draining) workers_->Release(id);
+  for (WorkerId id : gone) workers_->Forget(id);
 }
 
 // ---- Actions ----
--- a/src/net/types.hpp
+++ b/src/net/types.hpp
@@ -87,8 +87,9 @@
   virtual void Start(const Delegation& delegation) = 0;
   virtual void GiveUp(DelegationKey key) = 0;
   virtual void Locate(WorkerId worker, const Endpoint& endpoint) = 0;
-  virtual void Release(WorkerId worker) = 0;  // takes no new work: its unused connections can go
-  virtual void Forget(WorkerId worker) = 0;   // gone for good: nothing is sent there again
+  // Takes no new work: its unused connections can go, and what has not begun to be sent ends unreachable.
+  virtual void Release(WorkerId worker) = 0;
+  virtual void Forget(WorkerId worker) = 0;  // gone for good: nothing is sent there again
 
  protected:
   ~Workers() = default;
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -41,7 +41,10 @@
 
   std::span<char> Room() override { return parser_.Room(); }
 
-  void OnConnected() override { timer.Clear(); }
+  void OnConnected() override {
+    up = true;
+    timer.Clear();
+  }
   void OnWritten() override { written_ = true; }
 
   void OnBytes(std::size_t n) override {
@@ -64,7 +67,8 @@
   Endpoint endpoint;
   DelegationKey key;
   bool busy = false;
-  Timer timer;  // dialling, or idle
+  bool up = false;  // connected: bytes may have been sent
+  Timer timer;      // dialling, or idle
   Channel channel;
   LinkList::iterator place;  // while idle
   Micros parked_at = 0;
@@ -104,14 +108,25 @@
 
 void WorkerLinks::Locate(WorkerId worker, const Endpoint& endpoint) {
   Pool& pool = pools_[worker];
-  if (!(pool.endpoint == endpoint)) Release(worker);
-  pool.endpoint = endpoint;
+  // What is called off here may be sent again at once, and by then to the new address.
+  if (!(std::exchange(pool.endpoint, endpoint) == endpoint)) Release(worker);
 }
 
 void WorkerLinks::Release(WorkerId worker) {
   auto it = pools_.find(worker);
   if (it == pools_.end()) return;
   while (!it->second.idle.empty()) DropIdle(*it->second.idle.back());
+  // Guards against a connection that comes up long after the drain was told, and would only then send.
+  std::vector<DelegationKey> dialling;
+  for (const auto& [key, link] : busy_) {
+    if (link->worker == worker && !link->up) dialling.push_back(key);
+  }
+  for (const DelegationKey& key : dialling) {
+    auto found = busy_.find(key);
+    if (found == busy_.end()) continue;
+    found->second->channel.Close();
+    Finish(*found->second, DelegationEnd::kUnreachable, nullptr);
+  }
 }
 
 // What is still out there goes on; its connection finds no pool to return to.
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -291,6 +291,41 @@
   }
 }
 
+// Guards against a send after the drain window by a connection that was long in coming up: the loop has had
+// no chance to hear that it is up before the drain is told.
+TEST_CASE("what has not begun to be sent when a worker drains, goes or moves is sent elsewhere") {
+  for (int how : {0, 1, 2}) {
+    CAPTURE(how);
+    Rig rig;
+    Host leaving, staying;
+    rig.Know({&leaving});
+    Waiter waiter;
+    Micros deadline = rig.loop.Now() + 15'000 * kMs;
+    rig.gateway.Arrive(rig.gateway.NewCall(), {1, -1, deadline, {}, false, Parsed(Pay("a1"))}, waiter);
+    if (how == 0) {
+      rig.Know({&staying}, WorkerList::Kind::kChanges);
+      rig.Know({&leaving}, WorkerList::Kind::kChanges, WorkerState::kDraining);
+    } else if (how == 1) {
+      rig.Know({&staying}, WorkerList::Kind::kFull);
+    } else {
+      rig.Know({&staying}, WorkerList::Kind::kChanges);
+      WorkerList moved;
+      moved.kind = WorkerList::Kind::kChanges;
+      moved.entries.resize(1);
+      moved.entries[0].uid = "w" + std::to_string(leaving.port);
+      moved.entries[0].endpoint = staying.endpoint();
+      moved.entries[0].zone = 0;
+      rig.gateway.Learn(moved);
+    }
+    rig.Request(staying, "a1").Say(Answer(200, "one"));
+    rig.Until("it is served", [&] { return waiter.served == 1; });
+    CHECK(waiter.other == 0);
+    leaving.Accept();
+    for (Peer& peer : leaving.peers) CHECK(peer.Heard().empty());
+    Settles(rig);
+  }
+}
+
 TEST_CASE("a worker keeps its identity when its address changes") {
   Rig rig;
   Host before, after;
