--- a/include/sandstand/balancer.hpp
+++ b/include/sandstand/balancer.hpp
@@ -142,7 +142,15 @@
 
 struct TimerFired {};
 
-using Event = std::variant<ListUpdate, RequestArrived, ClientLeft, AttemptEnded, StreamStarted, TimerFired>;
+// How much of what all gateways share (what a cold server bears, tenants' quotas) this one may use, and until
+// when at the longest: from then on nothing, until the next. Never told, it is an even part of `gateways`.
+struct PartGranted {
+  double part = 0;   // 0 to 1
+  Micros until = 0;  // on the clock of the events
+};
+
+using Event = std::variant<ListUpdate, RequestArrived, ClientLeft, AttemptEnded, StreamStarted, TimerFired,
+                           PartGranted>;
 
 // ---- Actions
 // ------------------------------------------------------------------------------------------------
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -147,6 +147,7 @@
       shortest_aim_ = std::min<double>(shortest_aim_, c.aim);
       most_worth_ = std::max(most_worth_, c.worth);
     }
+    part_ = 1.0 / set_.gateways;
     zones_.resize(set_.zones);
     longest_try_.resize(set_.classes.size(), 0);
   }
@@ -498,11 +499,12 @@
   // This gateway's part of what all together may send: with every gateway at its part the sum stays safe.
   // Gateways of every zone take part, or one put back by hand would stay unused where it has no zone-mate.
   double ColdRate(const Server& server) const {
-    return std::max(1e-9, kColdFill * set_.fall_multiple * ColdCapacity(server) / std::max(1, set_.gateways));
+    return std::max(1e-9, kColdFill * set_.fall_multiple * ColdCapacity(server) * part_);
   }
 
   bool ColdAllows(Server& server, const Request& request) {
     if (!Cold(server)) return true;
+    if (now_ >= part_until_ || part_ <= 0) return false;
     if (server.cold_next < Started(server)) {
       // At random, or all gateways would open with it. One that has just started itself knows no usual
       // request yet and goes by the largest that a cold server may get.
@@ -835,6 +837,13 @@
 
   void On(const TimerFired&) {}
 
+  void On(const PartGranted& e) {
+    part_ = std::clamp(e.part, 0.0, 1.0);
+    part_until_ = e.until;
+    share_.SetPart(part_);
+    ReleaseBuffered();
+  }
+
   // ---- Admission ----
 
   void On(const RequestArrived& e) {
@@ -998,6 +1007,8 @@
   double extra_ = kExtraBurst;
   std::vector<Micros> longest_try_;
   limits::TenantShare share_;
+  double part_ = 0;  // of what all gateways share
+  Micros part_until_ = std::numeric_limits<Micros>::max();
 };
 
 Balancer::Balancer(const Settings& settings) : impl_(std::make_unique<Impl>(settings)) {}
--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,197 @@
+#include "cli/commands.hpp"
+
+#include <arpa/inet.h>
+#include <json/json.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string>
+
+#include "cli/proxy.hpp"
+#include "membership/codec.hpp"
+#include "net/http.hpp"
+#include "net/loop.hpp"
+#include "operator/operator_file.hpp"
+#include "operator/section.hpp"
+
+namespace dappletiller::cli {
+namespace {
+
+constexpr const char* kVersion = "dappletiller 0.1.0";
+constexpr int kPatience = 2;  // seconds; a console answers within one
+
+struct Answer {
+  int status = 0;  // 0: none
+  std::string body;
+};
+
+// One call of a console, as the operators' tools make it: plain blocking sockets with a time-out.
+Answer Call(const std::string& where, const std::string& method, const std::string& target) {
+  auto endpoint = ParseEndpoint(where);
+  if (!endpoint) return {};
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  timeval patience{kPatience, 0};
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_addr.s_addr = htonl(endpoint->address);
+  to.sin_port = htons(endpoint->port);
+  if (::connect(fd.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) return {};
+  std::string ask = method + " " + target + " HTTP/1.1\r\nHost: console\r\nConnection: close\r\n\r\n";
+  if (::send(fd.get(), ask.data(), ask.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(ask.size())) return {};
+  std::string text;
+  std::array<char, 16384> bytes;
+  for (ssize_t n; (n = ::recv(fd.get(), bytes.data(), bytes.size(), 0)) > 0;) {
+    text.append(bytes.data(), static_cast<std::size_t>(n));
+  }
+  // "HTTP/1.1 200 OK", head, empty line, body: the console closes after each answer.
+  std::size_t end = text.find("\r\n\r\n");
+  if (text.size() < 12 || end == std::string::npos) return {};
+  return {std::atoi(text.c_str() + 9), text.substr(end + 4)};
+}
+
+int Told(const std::string& where, const Answer& answer) {
+  if (answer.status == 0) {
+    std::fprintf(stderr,
+                 "dappletiller: no answer from the console at %s; is it a console's address, and does the "
+                 "process run?\n",
+                 where.c_str());
+    return 1;
+  }
+  if (answer.status >= 300) {
+    std::fprintf(stderr, "dappletiller: %d: %s", answer.status, answer.body.c_str());
+    return 1;
+  }
+  return 0;
+}
+
+bool Parse(const std::string& text, Json::Value* value) {
+  Json::CharReaderBuilder builder;
+  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  std::string errors;
+  return reader->parse(text.data(), text.data() + text.size(), value, &errors);
+}
+
+int Members(const std::string& where, bool json) {
+  Answer answer = Call(where, "GET", "/_fleet");
+  if (int failed = Told(where, answer)) return failed;
+  if (json) {
+    std::fputs(answer.body.c_str(), stdout);
+    return 0;
+  }
+  Json::Value root;
+  if (!Parse(answer.body, &root)) {
+    std::fprintf(stderr, "dappletiller: %s answered something that is not a view\n", where.c_str());
+    return 1;
+  }
+  std::printf("%-20s %-10s %-8s %-22s %12s  %s\n", "member", "state", "zone", "address", "incarnation",
+              "for");
+  const Json::Value& self = root["self"];
+  std::printf("%-20s %-10s %-8s %-22s %12s  (this one, health %d)\n", self["name"].asCString(),
+              self["state"].asCString(), self["zone"].asCString(), self["address"].asCString(),
+              self["incarnation"].asString().c_str(), self["health"].asInt());
+  for (const Json::Value& m : root["members"]) {
+    std::printf("%-20s %-10s %-8s %-22s %12s  %.1f s\n", m["name"].asCString(), m["state"].asCString(),
+                m["zone"].asCString(), m["address"].asCString(), m["incarnation"].asString().c_str(),
+                m["since_ms"].asDouble() / 1000);
+  }
+  if (root.isMember("part")) std::printf("part of the whole: %.4f\n", root["part"]["of_whole"].asDouble());
+  return 0;
+}
+
+// Prints changes as they come, until interrupted; ends with 1 once the console no longer answers.
+int WatchMembers(const std::string& where, int limit) {
+  std::uint64_t after = 0;
+  for (int round = 0; limit == 0 || round < limit; ++round) {
+    Answer answer = Call(where, "GET", "/_fleet?after=" + std::to_string(after));
+    if (int failed = Told(where, answer)) return failed;
+    Json::Value root;
+    if (!Parse(answer.body, &root)) return 1;
+    for (const Json::Value& e : root["events"]) {
+      after = std::max<std::uint64_t>(after, e["number"].asUInt64());
+      std::printf("%8.1f s ago  %s %s: %s\n", e["ago_ms"].asDouble() / 1000, e["name"].asCString(),
+                  e["event"].asCString(), e["why"].asCString());
+    }
+    std::fflush(stdout);
+    if (limit == 0 || round + 1 < limit) ::usleep(500'000);
+  }
+  return 0;
+}
+
+int CheckFile(const std::string& path) {
+  try {
+    operators::OperatorFile file = operators::LoadOperatorFile(path);
+    std::printf("%s: fine; %s\n", path.c_str(),
+                file.fleet ? ("member of fleet " + file.fleet->name).c_str() : "no [fleet]: no view is kept");
+    return 0;
+  } catch (const operators::OperatorError& e) {
+    std::fprintf(stderr, "%s\n", e.what());
+    return 2;
+  }
+}
+
+}  // namespace
+
+int Run(int argc, char** argv) {
+  CLI::App app{
+      "The proxy in front of plan servers, and its operators' commands.\n"
+      "Without arguments it serves as the platform starts it (BALANCER_CONFIG).",
+      "dappletiller"};
+  app.set_version_flag("--version", kVersion);
+  app.require_subcommand(1);
+
+  std::string file;
+  CLI::App* serve = app.add_subcommand("serve", "serve, with an operator file");
+  serve->add_option("--operator", file, "the operator file (TOML)")->required();
+
+  CLI::App* check = app.add_subcommand("check", "look an operator file over; 0: fine, 2: not");
+  check->add_option("file", file, "the operator file (TOML)")->required();
+
+  std::string console = "127.0.0.1:8081";
+  if (const char* at = std::getenv("BALANCER_CONSOLE"); at != nullptr && *at != '\0') console = at;
+  CLI::App* fleet = app.add_subcommand("fleet", "the view of the fleet that a running process keeps");
+  fleet->require_subcommand(1);
+  fleet->add_option("--console", console, "the process's console (or $BALANCER_CONSOLE)")
+      ->capture_default_str();
+  CLI::App* members = fleet->add_subcommand("members", "who is in the fleet, and how each is doing");
+  bool json = false;
+  members->add_flag("--json", json, "as the console gives it");
+  CLI::App* watch = fleet->add_subcommand("watch", "changes as they come");
+  int rounds = 0;
+  watch->add_option("--rounds", rounds, "end after so many looks, half a second apart (0: never)")
+      ->check(CLI::Range(0, 1'000'000));
+  CLI::App* leave = fleet->add_subcommand("leave", "have the process leave the fleet and serve on alone");
+  CLI::App* reap = fleet->add_subcommand("reap", "say that a dead member will not come back");
+  std::string name;
+  reap->add_option("name", name, "the member")->required();
+  CLI::App* key = fleet->add_subcommand("key", "print a new key for key_file");
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 2;
+  }
+  if (*serve) return Serve(file);
+  if (*check) return CheckFile(file);
+  if (*key) {
+    std::printf("%s\n", membership::Codec::NewKey().c_str());
+    return 0;
+  }
+  if (*members) return Members(console, json);
+  if (*watch) return WatchMembers(console, rounds);
+  Answer answer;
+  if (*leave) answer = Call(console, "PUT", "/_fleet/leave");
+  if (*reap) answer = Call(console, "PUT", "/_fleet/reap?who=" + name);
+  if (int failed = Told(console, answer)) return failed;
+  std::fputs(answer.body.c_str(), stdout);
+  return 0;
+}
+
+}  // namespace dappletiller::cli
--- /dev/null
+++ b/src/cli/proxy.cpp
@@ -0,0 +1,328 @@
+#include "cli/proxy.hpp"
+
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <charconv>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "net/acceptor.hpp"
+#include "net/budget.hpp"
+#include "net/config.hpp"
+#include "net/console.hpp"
+#include "net/discovery.hpp"
+#include "net/gateway.hpp"
+#include "net/log.hpp"
+#include "net/loop.hpp"
+#include "net/peers.hpp"
+#include "net/worker.hpp"
+#include "state/held_file.hpp"
+
+namespace dappletiller {
+namespace {
+
+constexpr Micros kStopAccepting = 500'000;  // after SIGTERM: by then the front sends nobody here any more
+constexpr Micros kLookEvery = 10'000;       // whether all is answered
+
+constexpr std::size_t kOwnDescriptors = 16;  // listener, discovery, epoll, standard streams and some more
+constexpr std::size_t kKeptPart = 8;         // one in so many connections is kept for clients
+constexpr std::size_t kPlacesPart = 3;  // one in so many descriptors is the most that clients hold for calls
+
+Config Load() {
+  const char* path = std::getenv("BALANCER_CONFIG");
+  if (path == nullptr) throw ConfigError("BALANCER_CONFIG is not set");
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file) throw ConfigError(std::string(path) + " cannot be read");
+  // An empty file reads as a failure of the stream: told apart, since a half-written file is common.
+  if (!(text << file.rdbuf()) || text.str().empty()) throw ConfigError(std::string(path) + " is empty");
+  try {
+    return ParseConfig(text.str());
+  } catch (const ConfigError& e) {
+    throw ConfigError(std::string(path) + ": " + e.what());
+  }
+}
+
+// Where the operators' console listens: the environment names it on days when the file doesn't.
+std::optional<Endpoint> ConsoleAt(const Config& config) {
+  if (const char* at = std::getenv("BALANCER_CONSOLE"); at != nullptr && *at != '\0') {
+    auto endpoint = ParseEndpoint(at);
+    if (!endpoint) throw ConfigError(std::string("BALANCER_CONSOLE is not an address and port: ") + at);
+    return endpoint;
+  }
+  return config.console;
+}
+
+// The descriptor of the clients' listening socket that the platform holds for every process; -1: none.
+int InheritedSocket() {
+  const char* text = std::getenv("BALANCER_SOCKET_FD");
+  if (text == nullptr || *text == '\0') return -1;
+  int fd = -1;
+  auto [end, failed] = std::from_chars(text, text + std::strlen(text), fd);
+  if (failed != std::errc() || *end != '\0' || fd < 0) {
+    throw ConfigError(std::string("BALANCER_SOCKET_FD is not a descriptor number: ") + text);
+  }
+  return fd;
+}
+
+class Proxy final : private EventSink, private ConsoleHandler, private PartSink {
+ public:
+  Proxy(Log& log, Config config, const std::string& operator_path)
+      : log_(log),
+        config_(std::move(config)),
+        operator_path_(operator_path),
+        gateway_(loop_, log_, config_.settings),
+        budget_(config_.sockets - kOwnDescriptors, config_.sockets / kKeptPart),
+        workers_(loop_, log_, gateway_, budget_, Reaching(config_)),
+        acceptor_(loop_, log_, gateway_, budget_, Accepting(config_)),
+        discovery_(loop_, log_, gateway_,
+                   {config_.discovery, config_.discovery_text, config_.names, config_.known.version,
+                    config_.settings.ask_within, !config_.settings.list_on_request}),
+        console_(loop_, log_, *this),
+        drain_timer_(loop_) {
+    gateway_.Connect(workers_, discovery_);
+    if (operator_path_.empty()) return;
+    operators::OperatorFile file = operators::LoadOperatorFile(operator_path_);
+    log_.Shape(file.log_json, Log::ParseLevel(file.log_level));
+    if (!file.fleet) return;
+    auto zone = static_cast<std::size_t>(config_.settings.zone);
+    peers_.emplace(loop_, log_, std::move(*file.fleet), config_.name,
+                   zone < config_.names.zones.size() ? config_.names.zones[zone] : std::string(),
+                   static_cast<PartSink&>(*this));
+  }
+
+  void Run() {
+    CatchSignals();
+    LoadHeld();
+    if (int fd = InheritedSocket(); fd >= 0) {
+      acceptor_.Inherit(fd);
+    } else {
+      acceptor_.Listen();
+    }
+    gateway_.Learn(config_.known);
+    discovery_.Start();
+    if (auto at = ConsoleAt(config_)) {
+      console_.Listen(*at);
+      log_.Line("console on port %u", console_.port());
+    }
+    if (peers_) {
+      peers_->Start();
+      log_.Line("fleet on port %u as %s at %s", peers_->port(), peers_->view().self().name.c_str(),
+                peers_->view().self().address.c_str());
+    }
+    log_.Line("started as %s on port %u with %zu workers known", config_.name.c_str(), acceptor_.port(),
+              config_.known.entries.size());
+    loop_.Run();
+    log_.Line("stopped");
+  }
+
+ private:
+  static AcceptorOptions Accepting(const Config& config) {
+    AcceptorOptions options;
+    options.listen = config.listen;
+    options.places = config.sockets / kPlacesPart;
+    options.classes = config.classes;
+    options.tenants = config.tenants;
+    for (const auto& c : config.settings.classes) {
+      options.patience.push_back(c.deadline);
+      options.effects.push_back(c.effect);
+    }
+    return options;
+  }
+
+  ConsoleReply Do(const console::Command& command) override {
+    using console::Verb;
+    switch (command.verb) {
+      case Verb::kReady:
+        return stopping_ ? ConsoleReply{503, "leaving"} : ConsoleReply{200, "ready"};
+      case Verb::kLameduckOn:
+      case Verb::kLameduckOff: {
+        bool on = command.verb == Verb::kLameduckOn;
+        if (on != acceptor_.lameduck()) {
+          log_.Line("lame duck %s: %zu client connections", on ? "on" : "off", acceptor_.connections());
+        }
+        acceptor_.Lameduck(on);
+        return {200, on ? "lame duck" : "serving"};
+      }
+      case Verb::kDetach:
+      case Verb::kAttach: {
+        bool detach = command.verb == Verb::kDetach;
+        bool known = detach ? gateway_.Detach(command.who) : gateway_.Attach(command.who);
+        if (!known) return {404, "no such worker was ever listed"};
+        SaveHeld();
+        return {200, detach ? "detached" : "attached"};
+      }
+      case Verb::kFleet:
+      case Verb::kFleetLeave:
+      case Verb::kFleetReap:
+        return DoFleet(command);
+      case Verb::kNone:
+        break;
+    }
+    return {400, "no such console call"};
+  }
+
+  ConsoleReply DoFleet(const console::Command& command) {
+    if (!peers_) return {404, "this process keeps no view of a fleet"};
+    if (command.verb == console::Verb::kFleetLeave) {
+      peers_->Leave();
+      return {200, "left the fleet; the process serves on"};
+    }
+    if (command.verb == console::Verb::kFleetReap) {
+      if (!peers_->Reap(command.who)) return {409, "no member of that name is dead here"};
+      return {200, "reaped"};
+    }
+    return {200, peers_->Json(command.after), "application/json"};
+  }
+
+  void Grant(double part, Micros until) override { gateway_.Grant(part, until); }
+
+  // Held workers outlive the process, for a successor in an upgrade: in the shared temporary folder.
+  std::string HeldPath() const {
+    const char* dir = std::getenv("TMPDIR");
+    std::string base = dir != nullptr && *dir != '\0' ? dir : "/tmp";
+    return base + "/dappletiller-" + config_.name + ".held.json";
+  }
+
+  void LoadHeld() {
+    std::ifstream file(HeldPath(), std::ios::binary);
+    if (!file) return;
+    std::ostringstream text;
+    text << file.rdbuf();
+    auto held = state::HeldFromJson(text.str());
+    if (!held) return log_.Line("held workers: %s is not whole or not ours; ignored", HeldPath().c_str());
+    gateway_.Restore(std::move(*held));
+  }
+
+  void SaveHeld() {
+    std::string path = HeldPath();
+    std::string temporary = path + "." + std::to_string(::getpid());
+    {
+      std::ofstream file(temporary, std::ios::binary | std::ios::trunc);
+      file << state::HeldToJson(gateway_.held());
+      if (!file.flush()) {
+        log_.Line("held workers: %s cannot be written; a successor will not know them", temporary.c_str());
+        return;
+      }
+    }
+    std::error_code failed;
+    std::filesystem::rename(temporary, path, failed);
+    if (failed) log_.Line("held workers: %s: %s", path.c_str(), failed.message().c_str());
+  }
+
+  static WorkerLimits Reaching(const Config& config) { return {config.dial_timeout, config.idle_timeout}; }
+
+  void CatchSignals() {
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
+    sigprocmask(SIG_BLOCK, &set, nullptr);
+    signals_ = Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+    loop_.Watch(signals_.get(), this);
+  }
+
+  void OnReady(std::uint32_t) override {
+    signalfd_siginfo info;
+    bool leave = false;
+    bool reload = false;
+    while (::read(signals_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
+      (info.ssi_signo == SIGHUP ? reload : leave) = true;
+    }
+    if (reload) Reload();
+    if (!leave || stopping_) return;
+    stopping_ = true;
+    log_.Line("leaving: %zu calls open, %zu client connections", gateway_.open_calls(),
+              acceptor_.connections());
+    acceptor_.Drain();
+    if (peers_) peers_->Leave();
+    // With the platform's socket a successor is taking the clients already: this one takes no more.
+    if (acceptor_.inherited()) acceptor_.StopAccepting();
+    drain_timer_.Set(kStopAccepting, [this] { Leave(); });
+  }
+
+  // The configuration anew, with all calls and connections kept. What the module was made with, and the
+  // address that clients know, can change only with a restart.
+  void Reload() {
+    Config fresh;
+    operators::OperatorFile file;
+    try {
+      fresh = Load();
+      if (!operator_path_.empty()) file = operators::LoadOperatorFile(operator_path_);
+    } catch (const std::exception& e) {  // guards against a bad file ending a proxy that serves
+      log_.Line("reload: the old configuration stays: %s", e.what());
+      return;
+    }
+    bool later = fresh.settings_text != config_.settings_text || !(fresh.listen == config_.listen);
+    bool moved = !(fresh.discovery == config_.discovery);
+    budget_.Resize(fresh.sockets - kOwnDescriptors, fresh.sockets / kKeptPart);
+    acceptor_.Resize(fresh.sockets / kPlacesPart);
+    workers_.SetLimits(Reaching(fresh));
+    if (moved) discovery_.Move(fresh.discovery, fresh.discovery_text);
+    if (fresh.settings_text != config_.settings_text) {
+      AcceptorOptions classes = Accepting(fresh);
+      acceptor_.Retune(classes.classes, classes.patience, classes.effects);
+    }
+    log_.Line("reload: done, discovery %s %s%s", moved ? "moves to" : "stays at",
+              fresh.discovery_text.c_str(),
+              later ? "; classes are taken, the rest of what changed needs a restart" : "");
+    if (!operator_path_.empty()) {
+      log_.Shape(file.log_json, Log::ParseLevel(file.log_level));
+      bool whole = peers_.has_value() == file.fleet.has_value();
+      if (peers_ && file.fleet) whole = peers_->Reload(std::move(*file.fleet));
+      log_.Line("reload: %s read%s", operator_path_.c_str(),
+                whole ? "" : "; the fleet's name, addresses and parts need a restart to change");
+    }
+    // The module goes on with the settings and the listener that it has.
+    config_.discovery = fresh.discovery;
+  }
+
+  // Ends once all that was taken is answered and written.
+  void Leave() {
+    acceptor_.Close();
+    bool told = !peers_ || peers_->left();
+    if (gateway_.open_calls() == 0 && acceptor_.connections() == 0 && told) return loop_.Stop();
+    drain_timer_.Set(kLookEvery, [this] { Leave(); });
+  }
+
+  Log& log_;
+  Config config_;
+  std::string operator_path_;  // empty: the platform's way, without an operator file
+  Loop loop_;
+  Gateway gateway_;
+  Budget budget_;
+  WorkerLinks workers_;
+  Acceptor acceptor_;
+  Discovery discovery_;
+  Console console_;
+  std::optional<Peers> peers_;
+  Fd signals_;
+  Timer drain_timer_;
+  bool stopping_ = false;
+};
+
+}  // namespace
+int Serve(const std::string& operator_path) {
+  Log log(stderr, "dappletiller");
+  try {
+    Proxy proxy(log, Load(), operator_path);
+    proxy.Run();
+    return 0;
+  } catch (const std::exception& e) {
+    log.Line("cannot start: %s", e.what());
+    return 1;
+  }
+}
+
+}  // namespace dappletiller
--- a/src/console/command.cpp
+++ b/src/console/command.cpp
@@ -1,9 +1,23 @@
 #include "console/command.hpp"
 
+#include <charconv>
+
 namespace dappletiller::console {
 namespace {
 
-Command No(int status, std::string_view reason) { return {Verb::kNone, {}, status, reason}; }
+Command No(int status, std::string_view reason) { return {Verb::kNone, {}, 0, status, reason}; }
+Command Yes(Verb verb) { return {verb, {}, 0, 0, {}}; }
+
+// `after=` of a query, a plain number; absent: 0.
+Command After(std::string_view query) {
+  Command command = Yes(Verb::kFleet);
+  if (query.empty()) return command;
+  if (query.substr(0, 6) != "after=") return No(400, "only after=NUMBER is known here");
+  query.remove_prefix(6);
+  auto [end, failed] = std::from_chars(query.data(), query.data() + query.size(), command.after);
+  if (failed != std::errc() || end != query.data() + query.size()) return No(400, "after= is not a number");
+  return command;
+}
 
 // The one `who=` of a query; an id is printable and has no separators, so nothing needs decoding.
 Command Who(Verb verb, std::string_view query) {
@@ -22,7 +36,7 @@
   for (char c : found) {
     if (c <= ' ' || c == '%' || c == 0x7f) return No(400, "who= holds a character that no id has");
   }
-  return {verb, std::string(found), 0, {}};
+  return {verb, std::string(found), 0, 0, {}};
 }
 
 }  // namespace
@@ -33,11 +47,14 @@
   std::string_view query = mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
   bool get = method == "GET";
   bool put = method == "PUT";
-  if (path == "/_ready") return get ? Command{Verb::kReady, {}, 0, {}} : No(405, "GET only");
-  if (path == "/_lameduck/on") return put ? Command{Verb::kLameduckOn, {}, 0, {}} : No(405, "PUT only");
-  if (path == "/_lameduck/off") return put ? Command{Verb::kLameduckOff, {}, 0, {}} : No(405, "PUT only");
+  if (path == "/_ready") return get ? Yes(Verb::kReady) : No(405, "GET only");
+  if (path == "/_lameduck/on") return put ? Yes(Verb::kLameduckOn) : No(405, "PUT only");
+  if (path == "/_lameduck/off") return put ? Yes(Verb::kLameduckOff) : No(405, "PUT only");
   if (path == "/_plan-servers/detach") return put ? Who(Verb::kDetach, query) : No(405, "PUT only");
   if (path == "/_plan-servers/attach") return put ? Who(Verb::kAttach, query) : No(405, "PUT only");
+  if (path == "/_fleet") return get ? After(query) : No(405, "GET only");
+  if (path == "/_fleet/leave") return put ? Yes(Verb::kFleetLeave) : No(405, "PUT only");
+  if (path == "/_fleet/reap") return put ? Who(Verb::kFleetReap, query) : No(405, "PUT only");
   return No(404, "no such console call");
 }
 
--- a/src/console/command.hpp
+++ b/src/console/command.hpp
@@ -4,16 +4,28 @@
 #ifndef DAPPLETILLER_CONSOLE_COMMAND_HPP_
 #define DAPPLETILLER_CONSOLE_COMMAND_HPP_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace dappletiller::console {
 
-enum class Verb { kNone, kReady, kDetach, kAttach, kLameduckOn, kLameduckOff };
+enum class Verb {
+  kNone,
+  kReady,
+  kDetach,
+  kAttach,
+  kLameduckOn,
+  kLameduckOff,
+  kFleet,
+  kFleetLeave,
+  kFleetReap
+};
 
 struct Command {
   Verb verb = Verb::kNone;
-  std::string who;          // the worker's id as discovery lists it (detach and attach only)
+  std::string who;          // the worker's id as discovery lists it (detach, attach), or a member (reap)
+  std::uint64_t after = 0;  // fleet: only changes numbered above this
   int status = 0;           // 0: a command; else the no to give at once (400, 404, 405)
   std::string_view reason;  // a plain line for that no; static text
 };
--- a/src/limits/tenant_share.cpp
+++ b/src/limits/tenant_share.cpp
@@ -15,7 +15,7 @@
 }  // namespace
 
 TenantShare::TenantShare(std::vector<Share> shares, int proxies)
-    : shares_(std::move(shares)), proxies_(std::max(1, proxies)), accounts_(shares_.size()) {}
+    : shares_(std::move(shares)), part_(1.0 / std::max(1, proxies)), accounts_(shares_.size()) {}
 
 bool TenantShare::Over(int tenant, Micros now) {
   if (shares_.empty()) return false;
@@ -25,7 +25,7 @@
   if (tenant < 0 || static_cast<std::size_t>(tenant) >= shares_.size()) return true;
   const Share& share = shares_[static_cast<std::size_t>(tenant)];
   Account& account = accounts_[static_cast<std::size_t>(tenant)];
-  double refill = kSlack * std::max(share.quota_per_s / proxies_, share.portion * rate_);
+  double refill = kSlack * std::max(share.quota_per_s * part_, share.portion * rate_);
   double most = std::max(1.0, kBurst * refill);
   account.left = std::min(most, account.left + refill * static_cast<double>(now - account.at) / kSecond);
   account.at = now;
--- a/src/limits/tenant_share.hpp
+++ b/src/limits/tenant_share.hpp
@@ -26,6 +26,9 @@
   // `proxies` (at least 1) divide the quotas evenly; their clocks and counts are their own.
   TenantShare(std::vector<Share> shares, int proxies);
 
+  // From now on the part of the quotas that is this proxy's (0 to 1), instead of an even one.
+  void SetPart(double part) { part_ = part; }
+
   // Takes note of one call at `now` and tells whether it is beyond its tenant's share. Where no tenants are
   // set none is; where some are, one that they don't name (-1) has no share.
   bool Over(int tenant, Micros now);
@@ -36,7 +39,7 @@
     Micros at = 0;
   };
   std::vector<Share> shares_;
-  double proxies_;
+  double part_;  // of the quotas
   std::vector<Account> accounts_;
   double rate_ = 0;  // calls a second arriving here
   Micros rate_at_ = 0;
--- a/src/membership/held.cpp
+++ b/src/maintenance/held.cpp
@@ -1,8 +1,8 @@
-#include "membership/held.hpp"
+#include "maintenance/held.hpp"
 
 #include <algorithm>
 
-namespace dappletiller::membership {
+namespace dappletiller::maintenance {
 bool Held::Detach(const std::string& uid) {
   back_.erase(uid);
   return held_.insert(uid).second;
@@ -19,4 +19,4 @@
   return it == back_.end() ? listed : std::max(listed, it->second);
 }
 
-}  // namespace dappletiller::membership
+}  // namespace dappletiller::maintenance
--- a/src/membership/held.hpp
+++ b/src/maintenance/held.hpp
@@ -2,8 +2,8 @@
 // Pure: no socket, file or clock; times are handed in. A held worker counts as draining whatever discovery
 // says, until it is put back; then it counts as started at that moment, so that it is treated as cold.
 // The state travels to a successor process through `src/state/held_file`.
-#ifndef DAPPLETILLER_MEMBERSHIP_HELD_HPP_
-#define DAPPLETILLER_MEMBERSHIP_HELD_HPP_
+#ifndef DAPPLETILLER_MAINTENANCE_HELD_HPP_
+#define DAPPLETILLER_MAINTENANCE_HELD_HPP_
 
 #include <cstdint>
 #include <map>
@@ -11,7 +11,7 @@
 #include <string>
 #include <utility>
 
-namespace dappletiller::membership {
+namespace dappletiller::maintenance {
 
 class Held {
  public:
@@ -40,6 +40,6 @@
   std::map<std::string, Micros> back_;  // when it was put back: cold from then
 };
 
-}  // namespace dappletiller::membership
+}  // namespace dappletiller::maintenance
 
-#endif  // DAPPLETILLER_MEMBERSHIP_HELD_HPP_
+#endif  // DAPPLETILLER_MAINTENANCE_HELD_HPP_
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -128,6 +128,13 @@
   return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+std::uint16_t Channel::local_port() const {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  if (::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address), &size) != 0) return 0;
+  return ntohs(address.sin_port);
+}
+
 void Channel::EndSending() {
   if (open()) ::shutdown(fd_.get(), SHUT_WR);
 }
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -33,6 +33,7 @@
   bool Adopt(Fd fd);                    // an accepted connection
   bool Connect(const Endpoint& where);  // false: it failed at once
   bool open() const { return static_cast<bool>(fd_); }
+  std::uint16_t local_port() const;  // 0: not open
   http::Outbox& out() { return out_; }
   void Flush();   // writes what is in out() as far as it goes now
   void Resume();  // there is room again
--- a/src/net/console.cpp
+++ b/src/net/console.cpp
@@ -29,7 +29,7 @@
     console::Command command = console::Read(request->method(), request->target());
     if (command.status != 0) return Finish(command.status, command.reason);
     ConsoleReply reply = console_.handler_.Do(command);
-    Finish(reply.status, reply.text);
+    Finish(reply.status, reply.text, reply.type);
   }
 
   void OnWritten() override {
@@ -40,13 +40,13 @@
   Channel channel;
 
  private:
-  void Finish(int status, std::string_view text) {
+  void Finish(int status, std::string_view text, std::string_view type = "text/plain") {
     if (answered_) return;
     answered_ = true;
     if (status >= 400) {
       console_.log_.Line("console: %d: %.*s", status, static_cast<int>(text.size()), text.data());
     }
-    http::WriteStatus(status, text, 0, false, &channel.out());
+    http::WriteStatus(status, text, 0, false, &channel.out(), type);
     channel.Flush();
     // A caller that doesn't read its answer is not waited for.
     timer_.Set(kCallTime, [this] { console_.Drop(id_); });
--- a/src/net/console.hpp
+++ b/src/net/console.hpp
@@ -19,7 +19,8 @@
 
 struct ConsoleReply {
   int status = 200;  // 2xx yes, 4xx or 5xx no
-  std::string text;  // one plain line
+  std::string text;  // one plain line, or JSON
+  const char* type = "text/plain";
 };
 
 class ConsoleHandler {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -11,7 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "membership/held.hpp"
+#include "maintenance/held.hpp"
 #include "net/log.hpp"
 #include "net/loop.hpp"
 #include "net/tally.hpp"
@@ -35,13 +35,15 @@
   void Ended(DelegationKey key, DelegationEnd end, PayloadRef answer);
   // From discovery.
   void Learn(const WorkerList& list);
+  // From the parts of the fleet: how much of what all proxies share is this one's, until when.
+  void Grant(double part, Micros until) { Deliver(sandstand::PartGranted{part, until}); }
   // From the operators: a worker that counts as draining from now on, whatever discovery lists, and its
   // return, cold. False: discovery never named it. Repeating either is harmless.
   bool Detach(const std::string& uid);
   bool Attach(const std::string& uid);
   // What is held, to hand to a successor, and what a predecessor handed on.
-  const membership::Held& held() const { return held_; }
-  void Restore(membership::Held held) { held_ = std::move(held); }
+  const maintenance::Held& held() const { return held_; }
+  void Restore(maintenance::Held held) { held_ = std::move(held); }
 
   // Counts for the line that is logged once a second while anything passes; other parts add theirs.
   Tally& tally();
@@ -100,7 +102,7 @@
   Timer wake_;
   Tally tally_;
   Timer tell_;
-  membership::Held held_;
+  maintenance::Held held_;
   std::set<std::string> ever_listed_;  // bounded by the uids that discovery ever gave
   Micros listed_at_ = 0;               // when discovery last answered; 0: never
 };
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -469,10 +469,13 @@
   out->AddView(answer->body(), answer);
 }
 
-void WriteStatus(int status, std::string_view text, Micros retry_after, bool keep_alive, Outbox* out) {
+void WriteStatus(int status, std::string_view text, Micros retry_after, bool keep_alive, Outbox* out,
+                 std::string_view type) {
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(Reason(status));
-  head += "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(text.size() + 1) + "\r\n";
+  head += "\r\nContent-Type: ";
+  head.append(type);
+  head += "\r\nContent-Length: " + std::to_string(text.size() + 1) + "\r\n";
   if (retry_after > 0) {
     // Rounded up to a millisecond: coming back too soon is what the advice is there to prevent.
     std::string millis = std::to_string((retry_after + 999) / 1000 % 1000);
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -131,7 +131,8 @@
 // A worker's answer as it goes to the client.
 void WriteAnswer(const MessageRef& answer, bool keep_alive, Outbox* out);
 // An answer of our own, with a line of text as its body.
-void WriteStatus(int status, std::string_view text, Micros retry_after, bool keep_alive, Outbox* out);
+void WriteStatus(int status, std::string_view text, Micros retry_after, bool keep_alive, Outbox* out,
+                 std::string_view type = "text/plain");
 
 // "480m" or "250000u"; nothing else.
 std::optional<Micros> ParseTimeout(std::string_view text);
--- /dev/null
+++ b/src/net/log.cpp
@@ -0,0 +1,136 @@
+#include "net/log.hpp"
+
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/base_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdarg>
+#include <utility>
+
+namespace dappletiller {
+namespace {
+
+// Any stream, as the tests hand in their own.
+class StreamSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  explicit StreamSink(std::FILE* to) : to_(to) {}
+
+ private:
+  void sink_it_(const spdlog::details::log_msg& msg) override {
+    spdlog::memory_buf_t text;
+    formatter_->format(msg, text);
+    std::fwrite(text.data(), 1, text.size(), to_);
+    std::fflush(to_);
+  }
+  void flush_() override { std::fflush(to_); }
+  std::FILE* to_;
+};
+
+// The text as the inside of a JSON string.
+class JsonText final : public spdlog::custom_flag_formatter {
+ public:
+  void format(const spdlog::details::log_msg& msg, const std::tm&, spdlog::memory_buf_t& dest) override {
+    for (char c : msg.payload) {
+      auto byte = static_cast<unsigned char>(c);
+      if (c == '"' || c == '\\') {
+        dest.push_back('\\');
+        dest.push_back(c);
+      } else if (byte < 0x20) {
+        fmt::format_to(fmt::appender(dest), "\\u{:04x}", byte);
+      } else {
+        dest.push_back(c);
+      }
+    }
+  }
+  std::unique_ptr<custom_flag_formatter> clone() const override { return std::make_unique<JsonText>(); }
+};
+
+spdlog::level::level_enum Translate(Log::Level level) {
+  switch (level) {
+    case Log::Level::kDebug:
+      return spdlog::level::debug;
+    case Log::Level::kInfo:
+      return spdlog::level::info;
+    case Log::Level::kWarn:
+      return spdlog::level::warn;
+    case Log::Level::kError:
+      break;
+  }
+  return spdlog::level::err;
+}
+
+Micros Steady() {
+  auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+}  // namespace
+
+Log::Log(std::FILE* to, const char* name)
+    : logger_(std::make_unique<spdlog::logger>(name, std::make_shared<StreamSink>(to))), name_(name) {
+  Shape(false, Level::kInfo);
+}
+
+Log::~Log() = default;
+
+Log::Level Log::ParseLevel(const std::string& word) {
+  return word == "debug"   ? Level::kDebug
+         : word == "warn"  ? Level::kWarn
+         : word == "error" ? Level::kError
+                           : Level::kInfo;
+}
+
+void Log::Shape(bool json, Level least) {
+  json_ = json;
+  least_ = least;
+  auto formatter = std::make_unique<spdlog::pattern_formatter>(spdlog::pattern_time_type::utc);
+  formatter->add_flag<JsonText>('J').set_pattern(
+      json ? R"({"at":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l","name":"%n","text":"%J"})" : "%n: %v");
+  logger_->set_formatter(std::move(formatter));
+  logger_->set_level(Translate(least));
+}
+
+// Before the text is made: what is left out must cost next to nothing.
+bool Log::Wanted(Level level) {
+  if (level < least_) return false;
+  Micros now = Steady();
+  if (at_ != 0) left_ = std::min(kBurst, left_ + kPerSecond * static_cast<double>(now - at_) / 1e6);
+  at_ = now;
+  if (left_ < 1) {
+    ++left_out_;
+    return false;
+  }
+  left_ -= 1;
+  return true;
+}
+
+void Log::Write(Level level, const char* format, std::va_list args) {
+  std::array<char, 512> text;
+  std::vsnprintf(text.data(), text.size(), format, args);
+  std::string whole = text.data();
+  if (left_out_ > 0) whole += " (" + std::to_string(left_out_) + " lines left out before this)";
+  left_out_ = 0;
+  logger_->log(Translate(level), spdlog::string_view_t(whole));
+}
+
+void Log::Line(const char* format, ...) {
+  if (!Wanted(Level::kInfo)) return;
+  std::va_list args;
+  va_start(args, format);
+  Write(Level::kInfo, format, args);
+  va_end(args);
+}
+
+void Log::At(Level level, const char* format, ...) {
+  if (!Wanted(level)) return;
+  std::va_list args;
+  va_start(args, format);
+  Write(level, format, args);
+  va_end(args);
+}
+
+}  // namespace dappletiller
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -8,15 +8,10 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <chrono>
-#include <cstdarg>
-#include <cstdio>
 #include <string>
 #include <system_error>
 
-#include "net/log.hpp"
-
 namespace dappletiller {
 namespace {
 
@@ -42,49 +37,6 @@
   fd_ = -1;
 }
 
-std::optional<Endpoint> ParseEndpoint(std::string_view text) {
-  Endpoint endpoint;
-  const char* end = text.data() + text.size();
-  const char* at = text.data();
-  for (int i = 0; i < 5; ++i) {
-    unsigned value = 0;
-    auto [next, failed] = std::from_chars(at, end, value);
-    if (failed != std::errc() || value > (i == 4 ? 65535u : 255u)) return std::nullopt;
-    if (i == 4) {
-      if (next != end) return std::nullopt;
-      endpoint.port = static_cast<std::uint16_t>(value);
-      break;
-    }
-    endpoint.address = endpoint.address << 8 | value;
-    if (next == end || *next != (i == 3 ? ':' : '.')) return std::nullopt;
-    at = next + 1;
-  }
-  return endpoint;
-}
-
-void Log::Line(const char* format, ...) {
-  Micros now = Read<std::chrono::steady_clock>();
-  if (at_ != 0) left_ = std::min(kBurst, left_ + kPerSecond * static_cast<double>(now - at_) / 1e6);
-  at_ = now;
-  if (left_ < 1) {
-    ++left_out_;
-    return;
-  }
-  left_ -= 1;
-  std::array<char, 512> text;
-  std::va_list args;
-  va_start(args, format);
-  std::vsnprintf(text.data(), text.size(), format, args);
-  va_end(args);
-  if (left_out_ > 0) {
-    std::fprintf(to_, "%s: %s (%ld lines left out before this)\n", name_, text.data(), left_out_);
-  } else {
-    std::fprintf(to_, "%s: %s\n", name_, text.data());
-  }
-  left_out_ = 0;
-  std::fflush(to_);
-}
-
 Loop::Loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
   if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
   offset_ = Read<std::chrono::system_clock>() - Read<std::chrono::steady_clock>();
@@ -174,25 +126,39 @@
   set_ = false;
 }
 
-Fd ListenOn(const Endpoint& where, int backlog, const char* what, std::uint16_t* port) {
-  auto check = [what](bool fine, const char* call) {
-    if (!fine) throw std::system_error(errno, std::generic_category(), std::string(what) + ": " + call);
-  };
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  check(static_cast<bool>(fd), "socket");
+namespace {
+
+void Check(bool fine, const char* what, const char* call) {
+  if (!fine) throw std::system_error(errno, std::generic_category(), std::string(what) + ": " + call);
+}
+
+Fd Bound(const Endpoint& where, int kind, const char* what, std::uint16_t* port) {
+  Fd fd(::socket(AF_INET, kind | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  Check(static_cast<bool>(fd), what, "socket");
   int on = 1;
-  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (kind == SOCK_STREAM) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(where.address);
   address.sin_port = htons(where.port);
   auto* generic = reinterpret_cast<sockaddr*>(&address);
   socklen_t size = sizeof address;
-  check(::bind(fd.get(), generic, size) == 0, "bind");
-  check(::listen(fd.get(), backlog) == 0, "listen");
-  check(::getsockname(fd.get(), generic, &size) == 0, "getsockname");
+  Check(::bind(fd.get(), generic, size) == 0, what, "bind");
+  Check(::getsockname(fd.get(), generic, &size) == 0, what, "getsockname");
   *port = ntohs(address.sin_port);
   return fd;
 }
 
+}  // namespace
+
+Fd ListenOn(const Endpoint& where, int backlog, const char* what, std::uint16_t* port) {
+  Fd fd = Bound(where, SOCK_STREAM, what, port);
+  Check(::listen(fd.get(), backlog) == 0, what, "listen");
+  return fd;
+}
+
+Fd DatagramsOn(const Endpoint& where, const char* what, std::uint16_t* port) {
+  return Bound(where, SOCK_DGRAM, what, port);
+}
+
 }  // namespace dappletiller
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -33,6 +33,8 @@
 // A non-blocking TCP listener on `where` (port 0: the kernel's choice), and the port it got. Throws
 // std::system_error naming `what` and the call that failed.
 Fd ListenOn(const Endpoint& where, int backlog, const char* what, std::uint16_t* port);
+// The same for datagrams.
+Fd DatagramsOn(const Endpoint& where, const char* what, std::uint16_t* port);
 
 class EventSink {
  public:
--- /dev/null
+++ b/src/operator/operator_file.cpp
@@ -0,0 +1,151 @@
+#include "operator/operator_file.hpp"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "operator/section.hpp"
+
+namespace dappletiller::operators {
+namespace {
+
+struct Level {
+  std::string_view word;
+  std::string_view value;
+};
+constexpr std::array kLevels = {Level{"debug", "debug"}, Level{"info", "info"}, Level{"warn", "warn"},
+                                Level{"error", "error"}};
+struct Form {
+  std::string_view word;
+  bool value;
+};
+constexpr std::array kForms = {Form{"text", false}, Form{"json", true}};
+
+constexpr std::uint32_t kLoopbackNet = 127;
+
+Endpoint Address(const Section& section, std::string_view key, const std::string& text) {
+  auto endpoint = ParseEndpoint(text);
+  if (!endpoint) section.Fail(key, "'" + text + "' is not an address and port; write it as 10.0.0.4:7946");
+  return *endpoint;
+}
+
+bool PlainName(const std::string& name) {
+  return !name.empty() && name.size() <= membership::kLongestName &&
+         std::all_of(name.begin(), name.end(),
+                     [](char c) { return c > ' ' && c < 0x7f && c != '%' && c != '&'; });
+}
+
+FleetOptions ReadFleet(Section s, const std::string& file, const ReadFile& read) {
+  FleetOptions fleet;
+  fleet.name = s.Text("name");
+  if (!PlainName(fleet.name))
+    s.Fail("name", "is missing or not a plain word; name the fleet, the same for all its members");
+  fleet.self = s.Text("self");
+  if (!fleet.self.empty() && !PlainName(fleet.self)) s.Fail("self", "is not a plain word");
+  fleet.zone = s.Text("zone");
+  fleet.bind = Address(s, "bind", s.Text("bind"));
+  fleet.advertise = s.Text("advertise");
+  if (!fleet.advertise.empty()) Address(s, "advertise", fleet.advertise);
+  if (fleet.advertise.empty() && fleet.bind.address == 0)
+    s.Fail("advertise", "is needed, since bind names no single address");
+  fleet.view.seeds = s.Words("seeds");
+  for (const std::string& seed : fleet.view.seeds) Address(s, "seeds", seed);
+  if (fleet.view.seeds.size() > 16)
+    s.Fail("seeds", "more than 16; a few are enough, the members tell of the rest");
+  auto millis = [&s](const char* key, Micros otherwise, double least, double most) {
+    return static_cast<Micros>(s.Number(key, static_cast<double>(otherwise) / 1000, least, most) * 1000);
+  };
+  membership::Settings& v = fleet.view;
+  v.probe_every = millis("probe_ms", v.probe_every, 50, 60'000);
+  v.probe_wait = millis("probe_wait_ms", v.probe_wait, 20, 10'000);
+  v.gossip_every = millis("gossip_ms", v.gossip_every, 50, 10'000);
+  v.sync_every = millis("sync_ms", v.sync_every, 1'000, 3'600'000);
+  v.suspect_least = millis("suspect_ms", v.suspect_least, 600, 600'000);
+  v.forget_after = millis("forget_ms", v.forget_after, 60'000, 2.6e9);
+  if (v.probe_wait > v.probe_every) s.Fail("probe_wait_ms", "is longer than probe_ms; give at most that");
+  fleet.key_file = s.Text("key_file");
+  if (fleet.key_file.empty()) {
+    if (fleet.bind.address >> 24 != kLoopbackNet) {
+      s.Fail("key_file",
+             "is missing, and without a key nothing but loopback is bound; make a key with 'dappletiller "
+             "fleet key'");
+    }
+  } else {
+    std::string error;
+    try {
+      auto keys = membership::Codec::ReadKeys(read(fleet.key_file), &error);
+      if (!keys) throw std::runtime_error(error);
+      fleet.keys = std::move(*keys);
+    } catch (const std::runtime_error& e) {
+      s.Fail("key_file", fleet.key_file + ": " + e.what());
+    }
+  }
+  if (const toml::table* table = s.Table("addresses")) {
+    Section addresses(*table, file, s.Under("addresses"));
+    for (const auto& [key, node] : *table) {
+      std::string advertised(key.str());
+      Address(addresses, advertised, advertised);
+      fleet.addresses[advertised] = Address(addresses, advertised, addresses.Text(advertised));
+    }
+  }
+  if (const toml::table* table = s.Table("parts")) {
+    Section parts(*table, file, s.Under("parts"));
+    fleet.keepers = parts.Words("keepers");
+    std::sort(fleet.keepers.begin(), fleet.keepers.end());
+    bool twice = std::adjacent_find(fleet.keepers.begin(), fleet.keepers.end()) != fleet.keepers.end();
+    if (fleet.keepers.empty() || fleet.keepers.size() > 7 || twice) {
+      parts.Fail("keepers", "give 1 to 7 members by name, each once, the same for the whole fleet");
+    }
+    fleet.lease = static_cast<Micros>(parts.Number("lease_ms", 3'000, 500, 60'000) * 1000);
+    parts.RefuseOthers();
+  }
+  s.RefuseOthers();
+  return fleet;
+}
+
+std::string Slurp(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) throw std::runtime_error("cannot be read, or is empty");
+  return text.str();
+}
+
+}  // namespace
+
+OperatorFile ParseOperatorFile(std::string_view text, const std::string& name, const ReadFile& read) {
+  toml::table root = ParseToml(text, name);
+  Section top(root, name, "");
+  OperatorFile file;
+  file.log_json = top.OneOf("log", kForms, "text");
+  file.log_level = top.OneOf("log_level", kLevels, "info");
+  if (const toml::table* fleet = top.Table("fleet"))
+    file.fleet = ReadFleet(Section(*fleet, name, "fleet"), name, read);
+  top.RefuseOthers();
+  return file;
+}
+
+OperatorFile LoadOperatorFile(const std::string& path) {
+  std::string text;
+  try {
+    text = Slurp(path);
+  } catch (const std::runtime_error& e) {
+    throw OperatorError(path + ": " + e.what() + "; give the path of a TOML file");
+  }
+  // A key file is named from where the operator file lies.
+  std::filesystem::path folder = std::filesystem::path(path).parent_path();
+  return ParseOperatorFile(text, path, [&folder](const std::string& named) {
+    std::filesystem::path key =
+        std::filesystem::path(named).is_absolute() ? std::filesystem::path(named) : folder / named;
+    struct stat info {};
+    if (::stat(key.c_str(), &info) == 0 && (info.st_mode & 077) != 0) {
+      throw std::runtime_error("others than its owner may use it; chmod 600 it");
+    }
+    return Slurp(key.string());
+  });
+}
+
+}  // namespace dappletiller::operators
--- /dev/null
+++ b/src/operator/operator_file.hpp
@@ -0,0 +1,49 @@
+// The operators' own file (TOML): what the platform's configuration doesn't say. Without it the program is
+// exactly what the platform starts. Reads a text, touches no file but the key's, which the caller hands over
+// as a function. Throws OperatorError (section.hpp): file, line, key, remedy.
+#ifndef DAPPLETILLER_OPERATOR_OPERATOR_FILE_HPP_
+#define DAPPLETILLER_OPERATOR_OPERATOR_FILE_HPP_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "membership/codec.hpp"
+#include "membership/view.hpp"
+#include "net/types.hpp"
+
+namespace dappletiller::operators {
+
+struct FleetOptions {
+  std::string name;  // of the fleet: messages of another are not heard
+  std::string self;  // of this member; empty: the configuration's name
+  std::string zone;  // empty: the configuration's
+  Endpoint bind;
+  std::string advertise;  // where the others reach this one; empty: what is bound
+  std::string key_file;
+  std::vector<membership::Key> keys;
+  membership::Settings view;                  // intervals and seeds; the rest is filled in at the start
+  std::map<std::string, Endpoint> addresses;  // advertised, and where it is dialled from here
+  std::vector<std::string> keepers;           // none: parts stay as the settings' number says
+  Micros lease = 3'000'000;
+};
+
+struct OperatorFile {
+  bool log_json = false;
+  std::string log_level = "info";
+  std::optional<FleetOptions> fleet;
+};
+
+// What a key file holds; throws std::runtime_error with a line that says what is wrong with it.
+using ReadFile = std::function<std::string(const std::string& path)>;
+
+OperatorFile ParseOperatorFile(std::string_view text, const std::string& name, const ReadFile& read);
+// From the disk. A key file that others than its owner can read is refused.
+OperatorFile LoadOperatorFile(const std::string& path);
+
+}  // namespace dappletiller::operators
+
+#endif  // DAPPLETILLER_OPERATOR_OPERATOR_FILE_HPP_
--- /dev/null
+++ b/src/operator/section.hpp
@@ -0,0 +1,74 @@
+// Reading one table of a TOML file by key: every error names file, line, key and remedy, and a key that
+// nobody asked for is refused, so that a misspelt one can't silently do nothing. Throws OperatorError only.
+#ifndef DAPPLETILLER_OPERATOR_SECTION_HPP_
+#define DAPPLETILLER_OPERATOR_SECTION_HPP_
+
+#include <toml++/toml.h>
+
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dappletiller::operators {
+
+class OperatorError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// The whole file. `name` is for messages.
+toml::table ParseToml(std::string_view text, const std::string& name);
+
+class Section {
+ public:
+  // Both must outlive it.
+  Section(const toml::table& table, const std::string& file, std::string path)
+      : table_(table), file_(file), path_(std::move(path)) {}
+
+  [[noreturn]] void Fail(std::string_view key, const std::string& why) const;
+  double Number(std::string_view key, double otherwise, double least, double most);
+  int Count(std::string_view key, int otherwise, int least, int most);
+  bool Flag(std::string_view key, bool otherwise);
+  std::string Text(std::string_view key, const std::string& otherwise = {});
+  // One string, or a list of them.
+  std::vector<std::string> Words(std::string_view key);
+  std::vector<std::vector<std::string>> Lists(std::string_view key);
+  // A table below this one, or none.
+  const toml::table* Table(std::string_view key);
+  const toml::array* Array(std::string_view key);
+  bool Has(std::string_view key) const { return table_.contains(key); }
+  int line() const { return static_cast<int>(table_.source().begin.line); }
+  const toml::table& table() const { return table_; }
+  // At the end: what is left is not known.
+  void RefuseOthers() const;
+  std::string Under(std::string_view key) const {
+    return path_.empty() ? std::string(key) : path_ + "." + std::string(key);
+  }
+
+  template <typename Entries>
+  auto OneOf(std::string_view key, const Entries& entries, std::string_view otherwise = {}) {
+    std::string word = Text(key, std::string(otherwise));
+    std::string all;
+    for (const auto& entry : entries) {
+      if (entry.word == word) return entry.value;
+      all += (all.empty() ? "" : ", ") + std::string(entry.word);
+    }
+    Fail(key,
+         word.empty() ? "is missing; give one of " + all : "'" + word + "' is unknown; give one of " + all);
+  }
+
+ private:
+  const toml::node* Find(std::string_view key);
+  std::vector<std::string> WordsOf(const toml::node& node, std::string_view key) const;
+
+  const toml::table& table_;
+  const std::string& file_;
+  std::string path_;
+  std::set<std::string> asked_;
+};
+
+}  // namespace dappletiller::operators
+
+#endif  // DAPPLETILLER_OPERATOR_SECTION_HPP_
--- /dev/null
+++ b/src/rig/standins.cpp
@@ -0,0 +1,388 @@
+#include "rig/standins.hpp"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <random>
+
+namespace dappletiller::rig {
+namespace {
+
+std::string Response(int status, const std::string& body, const char* more = "") {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n" + more + "\r\n" + body;
+}
+
+std::int64_t NumberIn(std::string_view text, std::string_view key) {
+  std::size_t at = text.find(key);
+  if (at == std::string_view::npos) return 0;
+  std::int64_t value = 0;
+  std::from_chars(text.data() + at + key.size(), text.data() + text.size(), value);
+  return value;
+}
+
+}  // namespace
+
+// ---- Server ----
+
+class Server::Conn final : public Channel::Owner {
+ public:
+  Conn(Server& server, ConnId id) : channel(server.loop_, *this), server_(server), id_(id) {}
+  std::span<char> Room() override { return parser_.Room(); }
+  void OnBytes(std::size_t n) override {
+    parser_.Got(n);
+    if (parser_.bad()) return server_.Drop(id_);
+    if (busy || !parser_.done()) return;
+    busy = true;
+    server_.Take(id_, parser_.Take());
+  }
+  void OnGone() override { server_.Drop(id_); }
+  void Next() {
+    busy = false;
+    if (parser_.done()) {
+      busy = true;
+      server_.Take(id_, parser_.Take());
+    } else {
+      channel.Resume();
+    }
+  }
+  Channel channel;
+  std::uint16_t from = 0;
+  bool busy = false;
+
+ private:
+  Server& server_;
+  ConnId id_;
+  http::Parser parser_{http::Parser::Kind::kRequest};
+};
+
+Server::Server(Loop& loop) : loop_(loop) {}
+
+Server::~Server() {
+  if (listener_) loop_.Forget(token_, listener_.get());
+}
+
+Endpoint Server::Listen() {
+  std::uint16_t port = 0;
+  listener_ = ListenOn({0x7f000001, 0}, 1024, "stand-in", &port);
+  token_ = loop_.Watch(listener_.get(), this);
+  return {0x7f000001, port};
+}
+
+void Server::OnReady(std::uint32_t) {
+  for (;;) {
+    sockaddr_in from{};
+    socklen_t size = sizeof from;
+    Fd fd(
+        ::accept4(listener_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd) return;
+    ConnId id = ++ids_;
+    auto conn = std::make_unique<Conn>(*this, id);
+    conn->from = ntohs(from.sin_port);
+    Conn& begun = *conn;
+    conns_[id] = std::move(conn);
+    if (!begun.channel.Adopt(std::move(fd))) Drop(id);
+  }
+}
+
+void Server::Drop(ConnId id) {
+  auto it = conns_.find(id);
+  if (it == conns_.end()) return;
+  auto owned = std::move(it->second);
+  conns_.erase(it);
+  owned->channel.Close();
+  loop_.Dispose(std::move(owned));
+  Gone(id);
+}
+
+void Server::DropAll() {
+  while (!conns_.empty()) Drop(conns_.begin()->first);
+}
+
+std::uint16_t Server::From(ConnId conn) const {
+  auto it = conns_.find(conn);
+  return it == conns_.end() ? 0 : it->second->from;
+}
+
+void Server::Answer(ConnId conn, std::string text) {
+  auto it = conns_.find(conn);
+  if (it == conns_.end()) return;
+  it->second->channel.out().AddOwned(std::move(text));
+  it->second->channel.Flush();
+  it = conns_.find(conn);
+  if (it != conns_.end()) it->second->Next();
+}
+
+// ---- The worker ----
+
+double StandInWorker::Capacity() const {
+  double age = static_cast<double>(loop_.Now() - started_);
+  if (started_ == 0 || age >= static_cast<double>(cold_.time)) return size_;
+  return size_ * (cold_.share + (1 - cold_.share) * age / static_cast<double>(cold_.time));
+}
+
+void StandInWorker::TipIfTooMuch(Micros work) {
+  Micros now = loop_.Now();
+  if (started_ == 0 || now >= started_ + cold_.time) return;
+  given_.emplace_back(now, work);
+  while (!given_.empty() && given_.front().first < now - cold_.fall) given_.pop_front();
+  double sum = 0;
+  for (const auto& [at, one] : given_) sum += static_cast<double>(one);
+  if (sum <= cold_.tip_multiple * Capacity() * static_cast<double>(cold_.fall)) return;
+  ledger_.tips[name_].push_back(now);
+  down_until_ = now + kDown;
+  given_.clear();
+  queue_.clear();
+  running_ = 0;
+  ++epoch_;
+  DropAll();
+}
+
+void StandInWorker::Take(ConnId conn, http::MessageRef request) {
+  Taken taken;
+  taken.at = loop_.Now();
+  taken.id = std::string(request->Find("Request-Id").value_or(""));
+  taken.worker = name_;
+  taken.sender = sender_(From(conn));
+  taken.attempt = ledger_.attempts[taken.id]++;
+  auto hint = request->Find("Work-Hint").value_or("5000");
+  std::from_chars(hint.data(), hint.data() + hint.size(), taken.work);
+  taken.once = request->Find("Request-Class").value_or("") == "pay";
+  taken.cold = started_ != 0 && taken.at < started_ + cold_.time;
+  ledger_.taken.push_back(taken);
+  std::uint64_t epoch = epoch_;
+  TipIfTooMuch(taken.work);
+  if (epoch != epoch_) return;
+  bool full = queue_.size() >= kQueue;
+  if (draining_ || full || taken.at < down_until_) {
+    return Answer(conn, Response(503, "", "Not-Started: 1\r\n"));
+  }
+  ledger_.taken.back().ran = true;
+  Waiting one{conn, taken.id, taken.work};
+  if (running_ >= static_cast<int>(size_)) {
+    queue_.push_back(std::move(one));
+  } else {
+    Run(std::move(one));
+  }
+}
+
+void StandInWorker::Run(Waiting one) {
+  ++running_;
+  Micros takes = static_cast<Micros>(static_cast<double>(one.work) * size_ / std::max(1.0, Capacity()));
+  loop_.At(loop_.Now() + takes, [this, one = std::move(one), epoch = epoch_] {
+    if (epoch != epoch_) return;
+    --running_;
+    Answer(one.conn, Response(200, one.id));
+    if (queue_.empty()) return;
+    Waiting next = std::move(queue_.front());
+    queue_.pop_front();
+    Run(std::move(next));
+  });
+}
+
+// ---- Discovery ----
+
+void StandInDiscovery::Set(const std::string& who, Mode mode) {
+  if (mode == Mode::kStale) stale_[who] = {version_, list_(who)};
+  modes_[who] = mode;
+  if (mode != Mode::kFine) return;
+  // Those who watch hear at once what they missed.
+  for (auto it = watchers_.begin(); it != watchers_.end();) {
+    auto [conn, watcher] = *it++;
+    if (watcher.who == who) Tell(conn, who);
+  }
+}
+
+void StandInDiscovery::Changed() {
+  ++version_;
+  for (auto it = watchers_.begin(); it != watchers_.end();) {
+    auto [conn, watcher] = *it++;
+    if (modes_[watcher.who] == Mode::kFine) Tell(conn, watcher.who);
+  }
+}
+
+void StandInDiscovery::Tell(ConnId conn, const std::string& who) {
+  auto it = watchers_.find(conn);
+  if (it != watchers_.end()) {
+    loop_.Cancel(it->second.timer);
+    watchers_.erase(it);
+  }
+  bool stale = modes_[who] == Mode::kStale;
+  std::uint64_t version = stale ? stale_[who].first : version_;
+  std::string body = "{\"rev\":" + std::to_string(version) + ",\"all\":true,\"targets\":[" +
+                     (stale ? stale_[who].second : list_(who)) + "]}";
+  Answer(conn, Response(200, body));
+}
+
+void StandInDiscovery::Gone(ConnId conn) {
+  auto it = watchers_.find(conn);
+  if (it == watchers_.end()) return;
+  loop_.Cancel(it->second.timer);
+  watchers_.erase(it);
+}
+
+void StandInDiscovery::Take(ConnId conn, http::MessageRef request) {
+  ++calls_;
+  std::string who = sender_(From(conn));
+  Mode mode = modes_[who];
+  if (mode == Mode::kSilent) return;
+  if (mode == Mode::kDown) return Answer(conn, Response(503, ""));
+  std::string_view target = request->target();
+  auto after = static_cast<std::uint64_t>(NumberIn(target, "after="));
+  Micros wait = std::min<Micros>(NumberIn(target, "wait_ms="), 60'000) * 1000;
+  std::uint64_t version = mode == Mode::kStale ? stale_[who].first : version_;
+  if (wait == 0 || after < version) return Tell(conn, who);
+  Watcher watcher{who, {0, 0}};
+  watcher.timer = loop_.At(loop_.Now() + wait, [this, conn, who] {
+    watchers_.erase(conn);
+    Answer(conn, Response(200, "{\"rev\":" + std::to_string(version_) + ",\"all\":false,\"targets\":[]}"));
+  });
+  watchers_[conn] = watcher;
+}
+
+// ---- Clients ----
+
+struct Clients::Call final : Channel::Owner {
+  Call(Clients& c, std::uint64_t n, std::size_t e)
+      : clients(c), id(n), entry(e), channel(c.loop_, *this), timer(c.loop_) {}
+  std::span<char> Room() override { return parser.Room(); }
+  void OnBytes(std::size_t n) override {
+    parser.Got(n);
+    if (parser.bad()) return clients.End(id, Fared::kLost);
+    if (!parser.done()) return;
+    int status = parser.Take()->status();
+    clients.End(id, status == 200                    ? Fared::kServed
+                    : status == 429 || status == 503 ? Fared::kRefused
+                                                     : Fared::kFailed);
+  }
+  void OnConnected() override { connected = true; }
+  void OnGone() override { clients.End(id, connected ? Fared::kLost : Fared::kUnreachable); }
+
+  Clients& clients;
+  std::uint64_t id;
+  std::size_t entry;  // in the ledger
+  Channel channel;
+  Timer timer;
+  http::Parser parser{http::Parser::Kind::kResponse};
+  bool connected = false;
+};
+
+Clients::Clients(Loop& loop, Ledger& ledger, std::string to, double per_second, double work_ms,
+                 std::uint64_t seed)
+    : loop_(loop),
+      ledger_(ledger),
+      to_(std::move(to)),
+      per_second_(per_second),
+      work_ms_(work_ms),
+      random_(seed),
+      next_(loop) {}
+
+Clients::~Clients() = default;
+
+void Clients::Start(const Endpoint& where) {
+  where_ = where;
+  if (running_ || per_second_ <= 0) return;
+  running_ = true;
+  due_ = loop_.Now();
+  Next();
+}
+
+void Clients::Stop() {
+  running_ = false;
+  next_.Clear();
+}
+
+void Clients::Next() {
+  due_ += static_cast<Micros>(std::exponential_distribution<double>(per_second_ / 1e6)(random_));
+  next_.Set(std::max<Micros>(0, due_ - loop_.Now()), [this] {
+    Begin();
+    Next();
+  });
+}
+
+void Clients::Begin() {
+  std::uint64_t id = ++ids_;
+  char name[24];
+  std::snprintf(name, sizeof name, "%016llx", static_cast<unsigned long long>(random_()));
+  auto work =
+      static_cast<Micros>(1000 * std::clamp(std::exponential_distribution<double>(1 / work_ms_)(random_),
+                                            work_ms_ / 10, work_ms_ * 6));
+  double kind = std::uniform_real_distribution<double>(0, 1)(random_);
+  std::string text = kind < 0.7 ? "GET" : "POST";
+  text += " /api?k=1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\nRequest-Id: " + std::string(name) +
+          "\r\nRequest-Class: ";
+  text += kind < 0.7 ? "check" : kind < 0.85 ? "pay" : "open";
+  text += "\r\nRequest-Timeout: 5000m\r\nWork-Hint: " + std::to_string(work) + "\r\n";
+  if (kind >= 0.85) text += "Idempotency-Key: " + std::string(name) + std::string(name) + "\r\n";
+  if (kind >= 0.7) text += "Content-Length: 0\r\n";
+  ledger_.called.push_back({loop_.Now(), to_, Fared::kOpen, 0});
+  auto call = std::make_unique<Call>(*this, id, ledger_.called.size() - 1);
+  Call& begun = *call;
+  calls_[id] = std::move(call);
+  begun.timer.Set(kPatience, [this, id] { End(id, Fared::kLost); });
+  if (!begun.channel.Connect(where_)) return End(id, Fared::kUnreachable);
+  begun.channel.out().AddOwned(text + "\r\n");
+}
+
+void Clients::End(std::uint64_t id, Fared fared) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  Called& called = ledger_.called[it->second->entry];
+  called.fared = fared;
+  called.took = loop_.Now() - called.at;
+  auto owned = std::move(it->second);
+  calls_.erase(it);
+  owned->timer.Clear();
+  owned->channel.Close();
+  loop_.Dispose(std::move(owned));
+}
+
+// ---- Asking a console ----
+
+namespace {
+
+// Owns itself until it has its answer, then goes by the loop's hand.
+struct Question final : Channel::Owner {
+  Question(Loop& l, std::function<void(int, std::string)> d)
+      : loop(l), done(std::move(d)), channel(l, *this), timer(l) {}
+  std::span<char> Room() override { return parser.Room(); }
+  void OnBytes(std::size_t n) override {
+    parser.Got(n);
+    if (parser.bad()) return End(0, {});
+    if (!parser.done()) return;
+    auto answer = parser.Take();
+    End(answer->status(), std::string(answer->body()));
+  }
+  void OnGone() override { End(0, {}); }
+  void End(int status, std::string body) {
+    if (self == nullptr) return;
+    timer.Clear();
+    channel.Close();
+    loop.Dispose(std::move(self));
+    done(status, std::move(body));
+  }
+  Loop& loop;
+  std::function<void(int, std::string)> done;
+  Channel channel;
+  Timer timer;
+  http::Parser parser{http::Parser::Kind::kResponse};
+  std::unique_ptr<Question> self;
+};
+
+}  // namespace
+
+void Ask::Get(Loop& loop, const Endpoint& where, const std::string& method, const std::string& target,
+              Micros patience, std::function<void(int, std::string)> done) {
+  auto owned = std::make_unique<Question>(loop, std::move(done));
+  Question& question = *owned;
+  question.self = std::move(owned);
+  question.timer.Set(patience, [&question] { question.End(0, {}); });
+  if (!question.channel.Connect(where)) return question.End(0, {});
+  question.channel.out().AddOwned(method + " " + target +
+                                  " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+}
+
+}  // namespace dappletiller::rig
--- /dev/null
+++ b/src/rig/standins.hpp
@@ -0,0 +1,176 @@
+// The parties that the rig plays itself: workers that keep the ledger, discovery, and open-loop clients. All
+// run on the rig's loop and speak HTTP/1.1 over real sockets; each behaves as the protocol page says its
+// original does, in the simplest form that a fault of the fleet can be seen in.
+#ifndef DAPPLETILLER_RIG_STANDINS_HPP_
+#define DAPPLETILLER_RIG_STANDINS_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+#include "net/channel.hpp"
+#include "net/http.hpp"
+#include "net/loop.hpp"
+#include "rig/ledger.hpp"
+
+namespace dappletiller::rig {
+
+// A listener whose connections carry one request at a time to `Take`; answers are written by `Answer`, at
+// once or later.
+class Server : private EventSink {
+ public:
+  using ConnId = std::uint64_t;
+  explicit Server(Loop& loop);
+  virtual ~Server();
+  Endpoint Listen();  // throws std::system_error
+  std::size_t connections() const { return conns_.size(); }
+
+ protected:
+  virtual void Take(ConnId conn, http::MessageRef request) = 0;
+  virtual void Gone(ConnId) {}
+  void Answer(ConnId conn, std::string head_and_body);
+  void DropAll();
+  // The local port at the other end of a connection: the relay knows whose it is.
+  std::uint16_t From(ConnId conn) const;
+
+  Loop& loop_;
+
+ private:
+  class Conn;
+  void OnReady(std::uint32_t) override;
+  void Drop(ConnId id);
+
+  Fd listener_;
+  Loop::Token token_ = 0;
+  ConnId ids_ = 0;
+  std::map<ConnId, std::unique_ptr<Conn>> conns_;
+};
+
+struct ColdModel {  // as the settings' invariants
+  double share = 0.1;
+  Micros time = 10'000'000;
+  double tip_multiple = 2;
+  Micros fall = 1'000'000;
+};
+
+// A plan server: runs `size` calls side by side for the work that each hints at, queues the rest, turns away
+// what drains or overflows. Started cold it bears `ColdModel` and tips over when given more: its connections
+// are reset, and for kDown it turns everything away.
+class StandInWorker final : public Server {
+ public:
+  static constexpr Micros kDown = 3'000'000;
+  static constexpr std::size_t kQueue = 64;
+  StandInWorker(Loop& loop, Ledger& ledger, std::string name, double size, ColdModel cold,
+                std::function<std::string(std::uint16_t)> sender)
+      : Server(loop),
+        ledger_(ledger),
+        name_(std::move(name)),
+        size_(size),
+        cold_(cold),
+        sender_(std::move(sender)) {}
+  // From now on it counts as just started.
+  void StartCold() { started_ = loop_.Now(); }
+  void Drain() { draining_ = true; }
+  Micros started() const { return started_; }
+  bool draining() const { return draining_; }
+  const std::string& name() const { return name_; }
+
+ private:
+  struct Waiting {
+    ConnId conn;
+    std::string id;
+    Micros work;
+  };
+  void Take(ConnId conn, http::MessageRef request) override;
+  void Run(Waiting one);
+  double Capacity() const;  // work it bears a microsecond
+  void TipIfTooMuch(Micros work);
+
+  Ledger& ledger_;
+  std::string name_;
+  double size_;
+  ColdModel cold_;
+  std::function<std::string(std::uint16_t)> sender_;
+  Micros started_ = 0;
+  Micros down_until_ = 0;
+  bool draining_ = false;
+  std::deque<std::pair<Micros, Micros>> given_;  // (when, work) within the last fall time
+  std::deque<Waiting> queue_;
+  int running_ = 0;
+  std::uint64_t epoch_ = 0;  // what ran before a fall answers nobody
+};
+
+// Discovery: one list with one version for all; each process sees the workers at its own addresses.
+class StandInDiscovery final : public Server {
+ public:
+  using ListFor = std::function<std::string(const std::string& who)>;  // the targets, as JSON
+  enum class Mode { kFine, kSilent, kDown, kStale };
+  StandInDiscovery(Loop& loop, std::function<std::string(std::uint16_t)> sender, ListFor list)
+      : Server(loop), sender_(std::move(sender)), list_(std::move(list)) {}
+  void Changed();  // the list has a new version: all who watch are told
+  void Set(const std::string& who, Mode mode);
+  std::uint64_t version() const { return version_; }
+  std::uint64_t calls() const { return calls_; }
+
+ private:
+  struct Watcher {
+    std::string who;
+    Loop::TimerKey timer{0, 0};
+  };
+  void Take(ConnId conn, http::MessageRef request) override;
+  void Gone(ConnId conn) override;
+  void Tell(ConnId conn, const std::string& who);
+
+  std::function<std::string(std::uint16_t)> sender_;
+  ListFor list_;
+  std::uint64_t version_ = 1;
+  std::uint64_t calls_ = 0;
+  std::map<ConnId, Watcher> watchers_;
+  std::map<std::string, Mode> modes_;
+  std::map<std::string, std::pair<std::uint64_t, std::string>> stale_;
+};
+
+// Open-loop calls to one process: a new one when its time has come, whether or not the last was answered.
+class Clients {
+ public:
+  static constexpr Micros kPatience = 5'000'000;
+  Clients(Loop& loop, Ledger& ledger, std::string to, double per_second, double work_ms, std::uint64_t seed);
+  ~Clients();
+  void Start(const Endpoint& where);
+  void Stop();  // no new calls; open ones end as they end
+
+ private:
+  struct Call;
+  void Next();
+  void Begin();
+  void End(std::uint64_t id, Fared fared);
+
+  Loop& loop_;
+  Ledger& ledger_;
+  std::string to_;
+  double per_second_;
+  double work_ms_;
+  pcg64 random_;
+  Endpoint where_;
+  bool running_ = false;
+  Timer next_;
+  Micros due_ = 0;
+  std::uint64_t ids_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<Call>> calls_;
+};
+
+// One GET (or PUT) to a console; `done` gets the status (0: no answer in time) and the body, once.
+class Ask {
+ public:
+  static void Get(Loop& loop, const Endpoint& where, const std::string& method, const std::string& target,
+                  Micros patience, std::function<void(int, std::string)> done);
+};
+
+}  // namespace dappletiller::rig
+
+#endif  // DAPPLETILLER_RIG_STANDINS_HPP_
--- a/src/state/held_file.cpp
+++ b/src/state/held_file.cpp
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-std::string HeldToJson(const membership::Held& held) {
+std::string HeldToJson(const maintenance::Held& held) {
   Json::Value root(Json::objectValue);
   root["format"] = kFormat;
   root["version"] = kVersion;
@@ -25,7 +25,7 @@
   return Json::writeString(writer, root);
 }
 
-std::optional<membership::Held> HeldFromJson(std::string_view text) {
+std::optional<maintenance::Held> HeldFromJson(std::string_view text) {
   Json::CharReaderBuilder builder;
   std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value root;
@@ -46,12 +46,12 @@
     if (!uid.isString()) return std::nullopt;
     detached.insert(uid.asString());
   }
-  std::map<std::string, membership::Held::Micros> returned;
+  std::map<std::string, maintenance::Held::Micros> returned;
   for (const std::string& uid : back.getMemberNames()) {
     if (!back[uid].isInt64()) return std::nullopt;
     returned[uid] = back[uid].asInt64();
   }
-  return membership::Held(std::move(detached), std::move(returned));
+  return maintenance::Held(std::move(detached), std::move(returned));
 }
 
 }  // namespace dappletiller::state
--- a/src/state/held_file.hpp
+++ b/src/state/held_file.hpp
@@ -8,13 +8,13 @@
 #include <string>
 #include <string_view>
 
-#include "membership/held.hpp"
+#include "maintenance/held.hpp"
 
 namespace dappletiller::state {
 
 // {"format": "dappletiller-held", "version": 1, "held": [uid...], "back": {uid: microseconds}}
-std::string HeldToJson(const membership::Held& held);
-std::optional<membership::Held> HeldFromJson(std::string_view text);
+std::string HeldToJson(const maintenance::Held& held);
+std::optional<maintenance::Held> HeldFromJson(std::string_view text);
 
 }  // namespace dappletiller::state
 
--- a/tests/net/console_test.cpp
+++ b/tests/net/console_test.cpp
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "console/command.hpp"
-#include "membership/held.hpp"
+#include "maintenance/held.hpp"
 #include "state/held_file.hpp"
 #include "support.hpp"
 
@@ -49,7 +49,7 @@
 }
 
 TEST_CASE("held workers: idempotent, cold from their return, and handed on only whole") {
-  membership::Held held;
+  maintenance::Held held;
   CHECK(held.Detach("w1"));
   CHECK_FALSE(held.Detach("w1"));
   CHECK(held.held("w1"));
