Let questions that are open when a rig's run ends go with the run

A question owned itself until its answer came, so nobody freed one that the end overtook: about one run in some twenty, whichever script. Ruled out: the program and the view, whose own leak checks were clean.

Change: questions belong to the run (Questions), which drops what is open.

--- a/src/rig/fleet.cpp
+++ b/src/rig/fleet.cpp
@@ -302,11 +302,11 @@
 void Fleet::Look(Slot& slot) {
   if (slot.asking || slot.console.port == 0 || !script_.joined || slot.stopped) return;
   slot.asking = true;
-  Ask::Get(loop_, slot.console, "GET", "/_fleet?after=" + std::to_string(slot.events_seen), 1'000'000,
-           [this, &slot](int status, std::string body) {
-             slot.asking = false;
-             if (status == 200) Learn(slot, body);
-           });
+  questions_.Put(slot.console, "GET", "/_fleet?after=" + std::to_string(slot.events_seen), 1'000'000,
+                 [this, &slot](int status, std::string body) {
+                   slot.asking = false;
+                   if (status == 200) Learn(slot, body);
+                 });
 }
 
 void Fleet::Learn(Slot& slot, const std::string& json) {
@@ -467,7 +467,7 @@
         if (Slot* next = Find(name + "+")) Begin(*next);
         break;
       case Act::kLeave:
-        Ask::Get(loop_, slot.console, "PUT", "/_fleet/leave", 1'000'000, [](int, std::string) {});
+        questions_.Put(slot.console, "PUT", "/_fleet/leave", 1'000'000, [](int, std::string) {});
         break;
       case Act::kSilent:
         discovery_->Set(name, StandInDiscovery::Mode::kSilent);
--- a/src/rig/fleet.hpp
+++ b/src/rig/fleet.hpp
@@ -94,6 +94,7 @@
   Links links_;
   pcg64 random_;
   std::map<std::string, std::unique_ptr<Slot>> slots_;
+  Questions questions_{loop_};  // after the slots: what is still open goes before them
   std::vector<Party> parties_;
   std::map<std::string, std::unique_ptr<StandInWorker>> workers_;
   std::map<std::string, int> worker_zone_;
--- a/src/rig/standins.cpp
+++ b/src/rig/standins.cpp
@@ -342,47 +342,49 @@
 
 // ---- Asking a console ----
 
-namespace {
-
-// Owns itself until it has its answer, then goes by the loop's hand.
-struct Question final : Channel::Owner {
-  Question(Loop& l, std::function<void(int, std::string)> d)
-      : loop(l), done(std::move(d)), channel(l, *this), timer(l) {}
+struct Questions::Question final : Channel::Owner {
+  Question(Questions& q, std::uint64_t i, std::function<void(int, std::string)> d)
+      : questions(q), id(i), done(std::move(d)), channel(q.loop_, *this), timer(q.loop_) {}
   std::span<char> Room() override { return parser.Room(); }
   void OnBytes(std::size_t n) override {
     parser.Got(n);
-    if (parser.bad()) return End(0, {});
+    if (parser.bad()) return questions.End(id, 0, {});
     if (!parser.done()) return;
     auto answer = parser.Take();
-    End(answer->status(), std::string(answer->body()));
-  }
-  void OnGone() override { End(0, {}); }
-  void End(int status, std::string body) {
-    if (self == nullptr) return;
-    timer.Clear();
-    channel.Close();
-    loop.Dispose(std::move(self));
-    done(status, std::move(body));
+    questions.End(id, answer->status(), std::string(answer->body()));
   }
-  Loop& loop;
+  void OnGone() override { questions.End(id, 0, {}); }
+  Questions& questions;
+  std::uint64_t id;
   std::function<void(int, std::string)> done;
   Channel channel;
   Timer timer;
   http::Parser parser{http::Parser::Kind::kResponse};
-  std::unique_ptr<Question> self;
 };
 
-}  // namespace
+Questions::Questions(Loop& loop) : loop_(loop) {}
+Questions::~Questions() = default;
 
-void Ask::Get(Loop& loop, const Endpoint& where, const std::string& method, const std::string& target,
-              Micros patience, std::function<void(int, std::string)> done) {
-  auto owned = std::make_unique<Question>(loop, std::move(done));
-  Question& question = *owned;
-  question.self = std::move(owned);
-  question.timer.Set(patience, [&question] { question.End(0, {}); });
-  if (!question.channel.Connect(where)) return question.End(0, {});
+void Questions::Put(const Endpoint& where, const std::string& method, const std::string& target,
+                    Micros patience, std::function<void(int, std::string)> done) {
+  std::uint64_t id = ++ids_;
+  Question& question = *(open_[id] = std::make_unique<Question>(*this, id, std::move(done)));
+  question.timer.Set(patience, [this, id] { End(id, 0, {}); });
+  if (!question.channel.Connect(where)) return End(id, 0, {});
   question.channel.out().AddOwned(method + " " + target +
                                   " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
 }
 
+void Questions::End(std::uint64_t id, int status, std::string body) {
+  auto it = open_.find(id);
+  if (it == open_.end()) return;
+  auto owned = std::move(it->second);
+  open_.erase(it);
+  owned->timer.Clear();
+  owned->channel.Close();
+  auto done = std::move(owned->done);
+  loop_.Dispose(std::move(owned));
+  done(status, std::move(body));
+}
+
 }  // namespace dappletiller::rig
--- a/src/rig/standins.hpp
+++ b/src/rig/standins.hpp
@@ -164,11 +164,21 @@
   std::map<std::uint64_t, std::unique_ptr<Call>> calls_;
 };
 
-// One GET (or PUT) to a console; `done` gets the status (0: no answer in time) and the body, once.
-class Ask {
+// GETs and PUTs to consoles. One that is open when this goes, goes with it, unanswered.
+class Questions {
  public:
-  static void Get(Loop& loop, const Endpoint& where, const std::string& method, const std::string& target,
-                  Micros patience, std::function<void(int, std::string)> done);
+  explicit Questions(Loop& loop);
+  ~Questions();
+  // `done` gets the status (0: no answer in time) and the body, once.
+  void Put(const Endpoint& where, const std::string& method, const std::string& target, Micros patience,
+           std::function<void(int, std::string)> done);
+
+ private:
+  struct Question;
+  void End(std::uint64_t id, int status, std::string body);
+  Loop& loop_;
+  std::uint64_t ids_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<Question>> open_;
 };
 
 }  // namespace dappletiller::rig
