--- a/src/rig/fleet.cpp
+++ b/src/rig/fleet.cpp
@@ -51,11 +51,11 @@
       links_(loop_, options_.seed),
       random_(options_.seed),
       codec_(kFleetName, {}),
-      key_(membership::Codec::NewKey()) {
+      keys_{{"first", membership::Codec::NewKey()}} {
   std::string error;
-  codec_.SetKeys(*membership::Codec::ReadKeys(key_, &error));
+  codec_.SetKeys(*membership::Codec::ReadKeys(keys_["first"], &error));
   std::filesystem::create_directories(options_.out);
-  Write(options_.out / "key", key_ + "\n");
+  Write(options_.out / "key", keys_["first"] + "\n");
   std::filesystem::permissions(options_.out / "key",
                                std::filesystem::perms::owner_read | std::filesystem::perms::owner_write);
   for (int i = 1; i <= script_.proxies; ++i) {
@@ -187,12 +187,13 @@
 
 std::string Fleet::OperatorFor(const Slot& slot) {
   std::ostringstream text;
-  text << "[fleet]\nname = \"" << kFleetName << "\"\nbind = \"127.0.0.1:0\"\nadvertise = \""
-       << slot.party.address << "\"\nkey_file = \"../key\"\nseeds = [";
+  text << "[fleet]\nname = \"" << (slot.fleet.empty() ? kFleetName : slot.fleet)
+       << "\"\nbind = \"127.0.0.1:0\"\nadvertise = \"" << slot.party.address << "\"\nkey_file = \""
+       << (slot.keys.empty() ? "../key" : "key") << "\"\nseeds = [";
   // The first three: enough that one lives, few enough that a start asks few.
   for (int i = 1; i <= std::min(3, script_.proxies); ++i)
     text << (i == 1 ? "" : ", ") << "\"127.64.0." << i << ":7946\"";
-  text << "]\n" << script_.operator_text << "\n[fleet.addresses]\n";
+  text << "]\n" << (slot.lines.empty() ? script_.operator_text : slot.lines) << "\n[fleet.addresses]\n";
   for (const auto& [address, dialled] : slot.dials)
     text << "\"" << address << "\" = \"" << Text(dialled) << "\"\n";
   if (script_.keepers > 0) {
@@ -206,8 +207,43 @@
 void Fleet::WriteFiles(Slot& slot) {
   std::filesystem::create_directories(slot.folder / "tmp");
   Write(slot.folder / "config.json", ConfigFor(slot));
+  if (Moved(slot)) {
+    Write(slot.folder / "clock", std::string(sizeof slot.clock, '\0'));
+    SetClock(slot, static_cast<double>(slot.clock) / 1e9);
+  }
   if (!script_.joined) return;
   Write(slot.folder / "operator.toml", OperatorFor(slot));
+  if (slot.keys.empty()) return;
+  std::string all;
+  for (const std::string& name : slot.keys) {
+    if (!keys_.contains(name)) keys_[name] = membership::Codec::NewKey();
+    all += keys_[name] + "\n";
+  }
+  Write(slot.folder / "key", all);
+  std::filesystem::permissions(slot.folder / "key",
+                               std::filesystem::perms::owner_read | std::filesystem::perms::owner_write);
+}
+
+// Whether the script moves its clock, at any time.
+bool Fleet::Moved(const Slot& slot) const {
+  return std::any_of(script_.faults.begin(), script_.faults.end(), [&](const Fault& fault) {
+    return fault.act == Act::kClock && !Select(fault.who, {slot.party.slot}).empty();
+  });
+}
+
+// In place: the process has the file mapped.
+void Fleet::SetClock(Slot& slot, double seconds) {
+  slot.clock = static_cast<std::int64_t>(seconds * 1e9);
+  std::fstream file(slot.folder / "clock", std::ios::in | std::ios::out | std::ios::binary);
+  file.write(reinterpret_cast<const char*>(&slot.clock), sizeof slot.clock);
+}
+
+void Fleet::Refile(const Fault& fault, Slot& slot) {
+  if (fault.wipe) std::filesystem::remove_all(slot.folder);
+  if (!fault.keys.empty()) slot.keys = fault.keys;
+  if (!fault.fleet.empty()) slot.fleet = fault.fleet;
+  if (!fault.lines.empty()) slot.lines = fault.lines;
+  WriteFiles(slot);
 }
 
 // ---- Processes ----
@@ -222,9 +258,15 @@
   std::vector<std::string> words = {options_.program};
   if (script_.joined)
     words.insert(words.end(), {"serve", "--operator", (slot.folder / "operator.toml").string()});
-  slot.process->Start(words,
-                      {"BALANCER_CONFIG=" + (slot.folder / "config.json").string(),
-                       "TMPDIR=" + (slot.folder / "tmp").string(), "BALANCER_NAME=" + slot.party.name});
+  std::vector<std::string> environment = {"BALANCER_CONFIG=" + (slot.folder / "config.json").string(),
+                                          "TMPDIR=" + (slot.folder / "tmp").string(),
+                                          "BALANCER_NAME=" + slot.party.name};
+  if (Moved(slot)) {
+    environment.push_back("LD_PRELOAD=" + options_.clock);
+    environment.push_back("RIG_CLOCK=" + (slot.folder / "clock").string());
+    environment.push_back("ASAN_OPTIONS=verify_asan_link_order=0");  // a sanitizer's build bears the preload
+  }
+  slot.process->Start(words, environment);
   ledger_.runs[slot.party.slot].push_back({loop_.Now(), 0, {}});
   ledger_.views[slot.party.slot].push_back({loop_.Now(), {}});
 }
@@ -446,6 +488,7 @@
         Kill(slot, SIGTERM);
         break;
       case Act::kHangup:
+        Refile(fault, slot);
         slot.process->Signal(SIGHUP);
         break;
       case Act::kStop:
@@ -456,7 +499,7 @@
         }
         break;
       case Act::kStart:
-        if (fault.wipe) std::filesystem::remove_all(slot.folder);
+        Refile(fault, slot);
         Begin(slot);
         break;
       case Act::kMove:
@@ -466,6 +509,9 @@
       case Act::kTwin:
         if (Slot* next = Find(name + "+")) Begin(*next);
         break;
+      case Act::kClock:
+        SetClock(slot, fault.value);
+        break;
       case Act::kLeave:
         questions_.Put(slot.console, "PUT", "/_fleet/leave", 1'000'000, [](int, std::string) {});
         break;
--- a/src/rig/fleet.hpp
+++ b/src/rig/fleet.hpp
@@ -23,6 +23,7 @@
 
 struct Options {
   std::string program;  // the real program
+  std::string clock;    // the shared object that moves wall clocks
   std::filesystem::path out;
   std::uint64_t seed = 1;
   bool quiet = false;
@@ -53,6 +54,9 @@
     std::unique_ptr<Clients> clients;
     Endpoint listen, console;
     std::uint64_t events_seen = 0;
+    std::vector<std::string> keys;  // none: the fleet's
+    std::string fleet, lines;       // none: the script's
+    std::int64_t clock = 0;         // its wall clock is off by so many nanoseconds
     bool asking = false;
     bool wanted = false;  // should run: an end that nobody ordered is a crash
     bool stopped = false;
@@ -64,6 +68,9 @@
   void MakeSlot(const std::string& slot, const std::string& name, int number, const std::string& address);
   void OpenLinks();
   void WriteFiles(Slot& slot);
+  bool Moved(const Slot& slot) const;
+  void SetClock(Slot& slot, double seconds);
+  void Refile(const Fault& fault, Slot& slot);
   void Begin(Slot& slot);
   void Heard(Slot& slot, const std::string& line);
   void Kill(Slot& slot, int signal);
@@ -103,7 +110,7 @@
   Fd signals_;
   Loop::Token signals_token_ = 0;
   membership::Codec codec_;
-  std::string key_;
+  std::map<std::string, std::string> keys_;  // by name; "first" is all processes' at the start
   Fd liar_;
   std::uint64_t lies_ = 0;
   std::vector<const Fault*> active_;
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -89,7 +89,9 @@
   app.require_subcommand(1);
   Options options;
   std::string out, script_path;
-  options.program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "dappletiller";
+  std::filesystem::path here = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+  options.program = here / "dappletiller";
+  options.clock = here / "dappletiller-clock.so";
   CLI::App* fleet = app.add_subcommand("fleet", "play a script (TOML; docs/rig.md)");
   fleet->add_option("script", script_path, "the script")->required();
   CLI::App* demo =
--- a/src/rig/script.cpp
+++ b/src/rig/script.cpp
@@ -30,7 +30,8 @@
     Word<Act>{"leave", Act::kLeave},         Word<Act>{"hangup", Act::kHangup},
     Word<Act>{"liar", Act::kLiar},           Word<Act>{"silent", Act::kSilent},
     Word<Act>{"down", Act::kDown},           Word<Act>{"stale", Act::kStale},
-    Word<Act>{"drain", Act::kDrain},         Word<Act>{"new-worker", Act::kNewWorker}};
+    Word<Act>{"drain", Act::kDrain},         Word<Act>{"new-worker", Act::kNewWorker},
+    Word<Act>{"clock", Act::kClock}};
 
 constexpr std::array kClaims = {
     Word<Claim>{"settled", Claim::kSettled},    Word<Claim>{"not-dead", Claim::kNotDead},
@@ -59,9 +60,20 @@
   fault.at = Seconds(section, "at");
   fault.span = Seconds(section, "for");
   fault.period = Seconds(section, "period", 1);
-  fault.value = section.Number("value", 0, 0, 1e9);
+  fault.value = section.Number("value", 0, fault.act == Act::kClock ? -1e9 : 0, 1e9);
   fault.oneway = section.Flag("oneway", false);
   fault.wipe = section.Flag("wipe", false);
+  fault.keys = section.Words("keys");
+  fault.fleet = section.Text("fleet");
+  if (const toml::table* more = section.Table("operator")) {
+    std::ostringstream lines;
+    lines << *more;
+    fault.lines = lines.str();
+  }
+  bool files = fault.wipe || !fault.keys.empty() || !fault.fleet.empty() || !fault.lines.empty();
+  if (files && fault.act != Act::kStart && fault.act != Act::kHangup) {
+    section.Fail("do", "files are written for start and hangup only; take wipe, keys, fleet, operator away");
+  }
   fault.who = section.Words("who");
   fault.from = section.Words("from");
   fault.to = section.Words("to");
@@ -86,7 +98,7 @@
   } else {
     text << Joined(fault.who) << " ";
   }
-  if (fault.value > 0) text << fault.value << " ";
+  if (fault.value != 0) text << fault.value << " ";
   text << "at " << static_cast<double>(fault.at) / 1e6 << " s";
   if (fault.span > 0) text << " for " << static_cast<double>(fault.span) / 1e6 << " s";
   fault.text = text.str();
--- a/src/rig/script.hpp
+++ b/src/rig/script.hpp
@@ -34,6 +34,7 @@
   kTwin,    // a second process with the same name, beside the first
   kLeave,   // told to leave by its console
   kHangup,  // SIGHUP
+  kClock,   // its wall clock stands `value` seconds off from here on
   kLiar,    // sends forged and hostile datagrams to the fleet, with its key
   // On discovery and workers.
   kSilent,    // discovery accepts and says nothing to `who`
@@ -52,6 +53,10 @@
       0;  // loss, reorder, duplicate, corrupt: 0 to 1; delay, jitter: ms; rate: kB/s; liar: per second
   bool oneway = false;
   bool wipe = false;  // start: without its folder
+  // start, hangup: what is written into its files first. None: as it was.
+  std::vector<std::string> keys;  // by name, the one that signs first; "first" is the fleet's at the start
+  std::string fleet;              // the fleet's name
+  std::string lines;              // of [fleet]
   std::vector<std::string> who, from, to;
   std::vector<std::vector<std::string>> groups;
   int line = 0;
