--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -49,9 +49,15 @@
 
   std::uint64_t sent = world.sent(), bytes = world.sent_bytes(), deaths = world.deaths();
   Micros from = world.now();
+  std::string error;
+  dappletiller::membership::Codec codec(
+      "lab", *dappletiller::membership::Codec::ReadKeys(dappletiller::membership::Codec::NewKey(), &error));
+  world.Meter(members / 3, &codec);
   world.Run(world.now() + static_cast<Micros>(calm * 1e6));
   double span = Seconds(world.now() - from);
   double messages = static_cast<double>(world.sent() - sent) / members / span;
+  double share = 100 * world.metered() / span;
+  world.Meter(-1, nullptr);
   double rate = static_cast<double>(world.sent_bytes() - bytes) / members / span;
   double hours = span * members / 3600;
   double false_deaths = static_cast<double>(world.deaths() - deaths) / hours;
@@ -72,9 +78,9 @@
   if (head)
     std::printf(
         "members loss form_s crash_s join_s heal_s messages_per_s bytes_per_s false_deaths_per_member_hour "
-        "member_hours\n");
-  std::printf("%d %.2f %.2f %.2f %.2f %.2f %.1f %.0f %.3f %.2f\n", members, loss, form, crash, join, heal,
-              messages, rate, false_deaths, hours);
+        "member_hours cpu_percent\n");
+  std::printf("%d %.2f %.2f %.2f %.2f %.2f %.1f %.0f %.3f %.2f %.4f\n", members, loss, form, crash, join,
+              heal, messages, rate, false_deaths, hours, share);
   std::fflush(stdout);
   return form >= 0 && crash >= 0 && join >= 0 && heal >= 0 ? 0 : 1;
 }
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <ctime>
 #include <random>
 #include <utility>
 
@@ -126,6 +127,34 @@
   out->clear();
 }
 
+void World::Meter(int member, const membership::Codec* codec) {
+  meter_ = member;
+  codec_ = codec;
+  metered_ = 0;
+}
+
+namespace {
+
+double Cpu() {
+  timespec at{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
+  return static_cast<double>(at.tv_sec) + static_cast<double>(at.tv_nsec) / 1e9;
+}
+
+}  // namespace
+
+double World::Spend(const std::string& heard) const {
+  double from = Cpu();
+  membership::Refusal why{};
+  if (!heard.empty()) codec_->Decode(heard, &why);
+  return from;
+}
+
+void World::Spent(double from, const std::vector<Out>& out) {
+  for (const Out& one : out) codec_->Encode(one.message);
+  metered_ += Cpu() - from;
+}
+
 void World::Deliver(const Event& event) {
   Node& node = nodes_[static_cast<std::size_t>(event.to)];
   if (node.view == nullptr || node.life != event.life) return;
@@ -139,9 +168,12 @@
     return;
   }
   std::vector<Out> out;
+  const bool metered = event.to == meter_;
+  double from = metered ? Spend(event.message == nullptr ? "" : codec_->Encode(*event.message)) : 0;
   if (event.message == nullptr) {
     for (const auto& message : std::exchange(node.inbox, {})) node.view->Receive(Local(node), *message, &out);
     node.view->Tick(Local(node), &out);
+    if (metered) Spent(from, out);
     Carry(event.to, &out);
     Judge(event.to);
     if (node.leaving && node.view->left(Local(node))) return Crash(event.to);
@@ -160,6 +192,7 @@
   } else {
     node.view->Receive(Local(node), *event.message, &out);
   }
+  if (metered) Spent(from, out);
   Carry(event.to, &out);
 }
 
--- a/src/lab/world.hpp
+++ b/src/lab/world.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "membership/codec.hpp"
 #include "membership/view.hpp"
 
 namespace dappletiller::lab {
@@ -60,6 +61,10 @@
   std::uint64_t sent_bytes() const;
   std::uint64_t deaths() const;  // verdicts of death on one that ran and was not cut off or paused
   std::uint64_t events() const { return events_; }
+  // From here on, what one member costs its processor: its view, and coding of all that it hears and says.
+  // Without sockets and without the world around it. `codec` must outlive the world; seconds since.
+  void Meter(int member, const membership::Codec* codec);
+  double metered() const { return metered_; }
 
  private:
   static constexpr std::size_t kInbox = 512;
@@ -91,6 +96,8 @@
   void Carry(int from, std::vector<membership::Out>* out);
   void Deliver(const Event& event);
   void Judge(int member);
+  double Spend(const std::string& heard) const;
+  void Spent(double from, const std::vector<membership::Out>& out);
   Micros Delay();
   bool Chance(double p);
   bool Reaches(int from, int to) const { return !reach_ || reach_(from, to); }
@@ -104,6 +111,9 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> heap_;
   std::uint64_t order_ = 0, events_ = 0, deaths_ = 0;
   std::function<bool(int, int)> reach_;
+  int meter_ = -1;
+  const membership::Codec* codec_ = nullptr;
+  double metered_ = 0;
 };
 
 // A run of random faults from a seed, then quiet: what went wrong, or an empty string. `members` from 3 up.
--- a/src/rig/fleet.cpp
+++ b/src/rig/fleet.cpp
@@ -243,6 +243,14 @@
   if (!fault.keys.empty()) slot.keys = fault.keys;
   if (!fault.fleet.empty()) slot.fleet = fault.fleet;
   if (!fault.lines.empty()) slot.lines = fault.lines;
+  if (fault.relay) {
+    for (auto& [other, there] : slots_) {
+      if (there.get() == &slot) continue;
+      Endpoint& dialled = slot.dials[there->party.address];
+      links_.Shut(dialled);
+      dialled = links_.Open(slot.party.slot, other, true);
+    }
+  }
   WriteFiles(slot);
 }
 
--- a/src/rig/links.cpp
+++ b/src/rig/links.cpp
@@ -40,7 +40,8 @@
 
 class Links::Datagrams final : private EventSink {
  public:
-  Datagrams(Links& links, Pair pair, Fd fd) : links_(links), pair_(std::move(pair)), fd_(std::move(fd)) {
+  Datagrams(Links& links, Pair pair, std::uint16_t port, Fd fd)
+      : links_(links), pair_(std::move(pair)), port_(port), fd_(std::move(fd)) {
     token_ = links_.loop_.Watch(fd_.get(), this);
   }
   ~Datagrams() { links_.loop_.Forget(token_, fd_.get()); }
@@ -51,6 +52,7 @@
     for (;;) {
       ssize_t n = ::recv(fd_.get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
       if (n < 0) return;
+      if (links_.shut_.contains(port_)) continue;
       Pass(std::string(bytes.data(), static_cast<std::size_t>(n)));
     }
   }
@@ -102,6 +104,7 @@
 
   Links& links_;
   Pair pair_;
+  std::uint16_t port_;
   Fd fd_;
   Loop::Token token_ = 0;
   Micros free_at_ = 0;
@@ -219,7 +222,8 @@
 
 class Links::Streams final : private EventSink {
  public:
-  Streams(Links& links, Pair pair, Fd fd) : links_(links), pair_(std::move(pair)), fd_(std::move(fd)) {
+  Streams(Links& links, Pair pair, std::uint16_t port, Fd fd)
+      : links_(links), pair_(std::move(pair)), port_(port), fd_(std::move(fd)) {
     token_ = links_.loop_.Watch(fd_.get(), this);
   }
   ~Streams() { links_.loop_.Forget(token_, fd_.get()); }
@@ -229,6 +233,7 @@
     for (;;) {
       Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
       if (!fd) return;
+      if (links_.shut_.contains(port_)) continue;
       std::uint64_t id = ++links_.ids_;
       auto stream = std::make_unique<Stream>(links_, id, pair_);
       Stream& begun = *stream;
@@ -243,6 +248,7 @@
 
   Links& links_;
   Pair pair_;
+  std::uint16_t port_;
   Fd fd_;
   Loop::Token token_ = 0;
 };
@@ -268,9 +274,9 @@
         if (i == kPairTries) throw;
         continue;
       }
-      datagrams_.push_back(std::make_unique<Datagrams>(*this, Pair(from, to), std::move(fd)));
+      datagrams_.push_back(std::make_unique<Datagrams>(*this, Pair(from, to), port, std::move(fd)));
     }
-    listeners_.push_back(std::make_unique<Streams>(*this, Pair(from, to), std::move(listener)));
+    listeners_.push_back(std::make_unique<Streams>(*this, Pair(from, to), port, std::move(listener)));
     return {kLoopback, port};
   }
 }
--- a/src/rig/links.hpp
+++ b/src/rig/links.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <pcg_random.hpp>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -51,6 +52,8 @@
 
   // Where `from` reaches `to`: one port for datagrams (if asked for) and streams. Throws std::system_error.
   Endpoint Open(const std::string& from, const std::string& to, bool datagrams);
+  // From here on nothing that is sent to this relay arrives, and new streams to it end at once.
+  void Shut(const Endpoint& relay) { shut_.insert(relay.port); }
   // Where `to` really is now. Port 0: nowhere; new connections are refused by a reset.
   void Place(const std::string& to, const Endpoint& real) { real_[to] = real; }
   Endpoint Real(const std::string& to) const {
@@ -82,6 +85,7 @@
   std::vector<std::unique_ptr<Streams>> listeners_;
   std::map<std::uint64_t, std::unique_ptr<Stream>> streams_;
   std::uint64_t ids_ = 0;
+  std::set<std::uint16_t> shut_;
   std::unordered_map<std::uint16_t, std::string> senders_;
 };
 
--- a/src/rig/script.cpp
+++ b/src/rig/script.cpp
@@ -63,6 +63,7 @@
   fault.value = section.Number("value", 0, fault.act == Act::kClock ? -1e9 : 0, 1e9);
   fault.oneway = section.Flag("oneway", false);
   fault.wipe = section.Flag("wipe", false);
+  fault.relay = section.Flag("relay", false);
   fault.keys = section.Words("keys");
   fault.fleet = section.Text("fleet");
   if (const toml::table* more = section.Table("operator")) {
@@ -70,9 +71,11 @@
     lines << *more;
     fault.lines = lines.str();
   }
-  bool files = fault.wipe || !fault.keys.empty() || !fault.fleet.empty() || !fault.lines.empty();
+  bool files =
+      fault.wipe || fault.relay || !fault.keys.empty() || !fault.fleet.empty() || !fault.lines.empty();
   if (files && fault.act != Act::kStart && fault.act != Act::kHangup) {
-    section.Fail("do", "files are written for start and hangup only; take wipe, keys, fleet, operator away");
+    section.Fail("do",
+                 "files are written for start and hangup only; take wipe, relay, keys, fleet, operator away");
   }
   fault.who = section.Words("who");
   fault.from = section.Words("from");
--- a/src/rig/script.hpp
+++ b/src/rig/script.hpp
@@ -52,7 +52,8 @@
   double value =
       0;  // loss, reorder, duplicate, corrupt: 0 to 1; delay, jitter: ms; rate: kB/s; liar: per second
   bool oneway = false;
-  bool wipe = false;  // start: without its folder
+  bool wipe = false;   // start: without its folder
+  bool relay = false;  // start, hangup: dials the others at new addresses; nobody is at the old ones
   // start, hangup: what is written into its files first. None: as it was.
   std::vector<std::string> keys;  // by name, the one that signs first; "first" is the fleet's at the start
   std::string fleet;              // the fleet's name
