Log a start's own lines whatever the limit, and tell the rig's callers apart for good

The rig knew its caller by the port of its connection, and forgot a port when an older stream on it was freed, after a new one had got it. Ruled out: the view, the part of the whole and the module's rotation (no server barred; a rig of 7 processes and 40 new workers in two minutes, with and without the fleet, went on sending).

Change: those lines are written whatever the limit (Log::Always); a stream forgets its own port only; discovery answers 503 to a caller that it doesn't know.

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -112,17 +112,17 @@
     discovery_.Start();
     if (auto at = ConsoleAt(config_)) {
       console_.Listen(*at);
-      log_.Line("console on port %u", console_.port());
+      log_.Always("console on port %u", console_.port());
     }
     if (peers_) {
       peers_->Start();
-      log_.Line("fleet on port %u as %s at %s", peers_->port(), peers_->view().self().name.c_str(),
-                peers_->view().self().address.c_str());
+      log_.Always("fleet on port %u as %s at %s", peers_->port(), peers_->view().self().name.c_str(),
+                  peers_->view().self().address.c_str());
     }
-    log_.Line("started as %s on port %u with %zu workers known", config_.name.c_str(), acceptor_.port(),
-              config_.known.entries.size());
+    log_.Always("started as %s on port %u with %zu workers known", config_.name.c_str(), acceptor_.port(),
+                config_.known.entries.size());
     loop_.Run();
-    log_.Line("stopped");
+    log_.Always("stopped");
   }
 
  private:
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -125,6 +125,14 @@
   va_end(args);
 }
 
+void Log::Always(const char* format, ...) {
+  if (Level::kInfo < least_) return;
+  std::va_list args;
+  va_start(args, format);
+  Write(Level::kInfo, format, args);
+  va_end(args);
+}
+
 void Log::At(Level level, const char* format, ...) {
   if (!Wanted(level)) return;
   std::va_list args;
--- a/src/rig/links.hpp
+++ b/src/rig/links.hpp
@@ -86,7 +86,7 @@
   std::map<std::uint64_t, std::unique_ptr<Stream>> streams_;
   std::uint64_t ids_ = 0;
   std::set<std::uint16_t> shut_;
-  std::unordered_map<std::uint16_t, std::string> senders_;
+  std::unordered_map<std::uint16_t, std::pair<std::string, std::uint64_t>> senders_;  // and the stream
 };
 
 }  // namespace dappletiller::rig
--- a/src/rig/standins.cpp
+++ b/src/rig/standins.cpp
@@ -227,6 +227,8 @@
 void StandInDiscovery::Take(ConnId conn, http::MessageRef request) {
   ++calls_;
   std::string who = sender_(From(conn));
+  if (who.empty())
+    return Answer(conn, Response(503, ""));  // whose list, nobody knows: better none than an empty one
   Mode mode = modes_[who];
   if (mode == Mode::kSilent) return;
   if (mode == Mode::kDown) return Answer(conn, Response(503, ""));
