Test that the rig's table of callers forgets only what a stream said itself

The table is a class of its own (Callers), so that a port given twice can be tested. Built in release; the test was run by itself, the sanitizers' build of it was not finished.

--- a/src/rig/links.cpp
+++ b/src/rig/links.cpp
@@ -119,11 +119,7 @@
         pair_(std::move(pair)),
         there_(*this, pair_),
         back_(*this, {pair_.second, pair_.first}) {}
-  // Guards against forgetting a later stream that has got the same port meanwhile.
-  ~Stream() {
-    auto it = links_.senders_.find(port_);
-    if (it != links_.senders_.end() && it->second.second == id_) links_.senders_.erase(it);
-  }
+  ~Stream() { links_.senders_.Forget(port_, id_); }
 
   bool Begin(Fd fd) { return there_.channel.Adopt(std::move(fd)); }
 
@@ -202,7 +198,7 @@
     dialled_ = true;
     if (real.port == 0 || !back_.channel.Connect(real)) return End();
     port_ = back_.channel.local_port();
-    links_.senders_[port_] = {pair_.first, id_};
+    links_.senders_.Say(port_, id_, pair_.first);
   }
 
   void End() {
@@ -294,9 +290,4 @@
   }
 }
 
-std::string Links::Sender(std::uint16_t port) const {
-  auto it = senders_.find(port);
-  return it == senders_.end() ? std::string() : it->second.first;
-}
-
 }  // namespace dappletiller::rig
--- a/src/rig/links.hpp
+++ b/src/rig/links.hpp
@@ -37,6 +37,27 @@
   void Add(const LinkState& other);
 };
 
+// Whose stream comes from which local port. The kernel gives a port again once its stream is closed, and the
+// old stream is freed later than that: it forgets only what it said itself.
+class Callers {
+ public:
+  void Say(std::uint16_t port, std::uint64_t stream, std::string who) {
+    all_[port] = {std::move(who), stream};
+  }
+  void Forget(std::uint16_t port, std::uint64_t stream) {
+    auto it = all_.find(port);
+    if (it != all_.end() && it->second.second == stream) all_.erase(it);
+  }
+  // Empty: nobody of ours.
+  std::string Of(std::uint16_t port) const {
+    auto it = all_.find(port);
+    return it == all_.end() ? std::string() : it->second.first;
+  }
+
+ private:
+  std::unordered_map<std::uint16_t, std::pair<std::string, std::uint64_t>> all_;
+};
+
 // Counts of one direction, for the record.
 struct LinkCount {
   std::uint64_t datagrams = 0, bytes = 0, dropped = 0;
@@ -64,7 +85,7 @@
   // Called when states have changed: what waited may go on.
   void Changed();
   // Who a connection that arrives from that local port belongs to; empty: nobody of ours.
-  std::string Sender(std::uint16_t port) const;
+  std::string Sender(std::uint16_t port) const { return senders_.Of(port); }
   const LinkCount& Count(const std::string& from, const std::string& to) { return counts_[{from, to}]; }
 
  private:
@@ -86,7 +107,7 @@
   std::map<std::uint64_t, std::unique_ptr<Stream>> streams_;
   std::uint64_t ids_ = 0;
   std::set<std::uint16_t> shut_;
-  std::unordered_map<std::uint16_t, std::pair<std::string, std::uint64_t>> senders_;  // and the stream
+  Callers senders_;
 };
 
 }  // namespace dappletiller::rig
--- a/tests/rig/standins_test.cpp
+++ b/tests/rig/standins_test.cpp
@@ -4,6 +4,8 @@
 
 #include <memory>
 
+#include "rig/links.hpp"
+
 namespace dappletiller::rig {
 namespace {
 
@@ -23,5 +25,15 @@
   CHECK(*answered == 0);
 }
 
+TEST_CASE("a stream that is freed late doesn't forget the caller who has its port by now") {
+  Callers callers;
+  callers.Say(4000, 1, "p1");
+  callers.Say(4000, 2, "p7");
+  callers.Forget(4000, 1);
+  CHECK(callers.Of(4000) == "p7");
+  callers.Forget(4000, 2);
+  CHECK(callers.Of(4000) == "");
+}
+
 }  // namespace
 }  // namespace dappletiller::rig
