Open a silent watch anew before what it missed counts as told

Ruled out: the list itself (the new watch brought the drain at once), a send from the dial queue (the call was new).

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,13 +1,12 @@
 #include "net/discovery.hpp"
 
-#include <algorithm>
 #include <utility>
 
+#include "limits/watch_times.hpp"
+
 namespace dappletiller {
 namespace {
 
-constexpr Micros kAnswerTime = 2'000'000;    // beyond the wait that the call itself allows
-constexpr Micros kLongestWait = 60'000'000;  // that discovery grants
 // Lists that are pushed: an agent that was silent has its news taken within wait and answer time of being
 // back. Its calls cost nothing, and what it has counts as told.
 constexpr Micros kPushedWait = 1'000'000;
@@ -39,7 +38,7 @@
     if (!asking) return;
     timer.Set(within, [this] {
       channel.Close();
-      discovery_.Failed(*this, "no answer");
+      discovery_.Silent(*this);
     });
   }
 
@@ -93,8 +92,7 @@
 }
 
 Micros Discovery::WatchWait() const {
-  // Where it is asked, half of what may pass without asking: a silent discovery is noticed in time.
-  return options_.pushed ? kPushedWait : std::min(kLongestWait, options_.ask_within / 2);
+  return options_.pushed ? kPushedWait : limits::WatchTimes::Wait(options_.ask_within);
 }
 
 // The first call of a watch doesn't wait, so that the module soon knows that it is subscribed and what it
@@ -108,6 +106,7 @@
   options_.where = where;
   options_.host = std::move(host);
   whole_ = true;
+  renewed_ = false;
   // Guards against an answer of the old address that is still on its way.
   for (auto* asker : {&watch_, &fetch_}) {
     if (*asker == nullptr) continue;
@@ -126,7 +125,7 @@
     target += "?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait / 1000);
   }
   ++gateway_.tally().list_calls;
-  asker->Ask(target, wait + (options_.pushed ? kPushedAnswerTime : kAnswerTime));
+  asker->Ask(target, options_.pushed ? wait + kPushedAnswerTime : limits::WatchTimes::AnswerWithin(wait));
 }
 
 void Discovery::Answered(Asker& asker, const http::Message& answer) {
@@ -137,11 +136,23 @@
   bool old = !asker.watch && !whole_ && list->version < version_;
   if (!old) version_ = list->version;
   if (list->kind == WorkerList::Kind::kFull) whole_ = false;
+  if (asker.watch) renewed_ = false;
   // The next call of the watch leaves first: it has to come within 200 ms, whatever the list sets off.
   if (asker.watch) Ask(watch_, true, WatchWait());
   if (!old) gateway_.Learn(*list);
 }
 
+// A watch that has fallen silent is opened anew at once: the clock of what it missed is running, and the
+// module's back-off is there to spare a discovery that said no, which this one did not. Silent again, it is.
+void Discovery::Silent(Asker& asker) {
+  if (!asker.watch || options_.pushed || renewed_) return Failed(asker, "no answer");
+  renewed_ = true;
+  asker.asking = false;
+  ++gateway_.tally().list_failures;
+  log_.Line("discovery: a watch failed: silent, opened anew");
+  Ask(watch_, true, 0);
+}
+
 void Discovery::Failed(Asker& asker, const char* why) {
   asker.asking = false;
   asker.timer.Clear();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -40,6 +40,7 @@
   void Ask(std::unique_ptr<Asker>& asker, bool watch, Micros wait);
   Micros WatchWait() const;
   void Answered(Asker& asker, const http::Message& answer);
+  void Silent(Asker& asker);
   void Failed(Asker& asker, const char* why);
 
   Loop& loop_;
@@ -47,7 +48,8 @@
   Gateway& gateway_;
   DiscoveryOptions options_;
   std::uint64_t version_;
-  bool whole_ = false;  // the version held is not this discovery's: only the whole list will do
+  bool whole_ = false;    // the version held is not this discovery's: only the whole list will do
+  bool renewed_ = false;  // the watch was silent and has not answered since
   std::unique_ptr<Asker> watch_;
   std::unique_ptr<Asker> fetch_;
   Timer again_;  // pushed lists: until the next call after a failed one
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -15,12 +15,6 @@
 namespace dappletiller::testing {
 namespace {
 
-// No call and no delegation is left behind: every one sent has had its one outcome.
-void Settles(Rig& rig) {
-  rig.Until("all is over", [&] { return rig.gateway.table_size() == 0; });
-  CHECK(rig.gateway.open_calls() == 0);
-}
-
 // Which of two workers the proxy turns to first.
 Host* Dialled(Rig& rig, Host& one, Host& two) {
   Host* first = nullptr;
@@ -164,21 +158,6 @@
   Settles(rig);
 }
 
-struct Waiter final : Caller {
-  void Served(PayloadRef) override { ++served; }
-  void Overloaded(Micros) override { ++other; }
-  void Failed() override { ++other; }
-  int served = 0;
-  int other = 0;
-};
-
-PayloadRef Parsed(const std::string& bytes) {
-  http::Parser parser(http::Parser::Kind::kRequest);
-  parser.Feed(bytes);
-  REQUIRE(parser.done());
-  return parser.Take();
-}
-
 // Guards against writing a payment into a connection that the worker has closed in the meantime: the second
 // call arrives before the loop has had any chance to hear of the close.
 TEST_CASE("a connection that the worker closed while idle is not used again") {
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -221,6 +221,28 @@
          "\r\n" + more + "\r\n" + body;
 }
 
+// No call and no delegation is left behind: every one sent has had its one outcome.
+inline void Settles(Rig& rig) {
+  rig.Until("all is over", [&] { return rig.gateway.table_size() == 0; });
+  CHECK(rig.gateway.open_calls() == 0);
+}
+
+// Waits for the final answer of a call that a test hands to the gateway itself.
+struct Waiter final : Caller {
+  void Served(PayloadRef) override { ++served; }
+  void Overloaded(Micros) override { ++other; }
+  void Failed() override { ++other; }
+  int served = 0;
+  int other = 0;
+};
+
+inline PayloadRef Parsed(const std::string& bytes) {
+  http::Parser parser(http::Parser::Kind::kRequest);
+  parser.Feed(bytes);
+  REQUIRE(parser.done());
+  return parser.Take();
+}
+
 }  // namespace dappletiller::testing
 
 #endif  // DAPPLETILLER_TESTS_NET_SUPPORT_HPP_
