Take back what is unwritten for a client that left, and heed no answer before its request

The gateway takes it back now, also when another copy has answered. An answer that is whole before its request is was passed on: a worker begins at the last byte (PROTOCOL), so only a refusal can be meant for it; anything else counts as never reached. A second answer that comes late could meet the next call on a connection used again at once: a worker that has sent one has its connections rest 50 ms for a minute. Checked: the outcome for the module (not sent, never ran), calls that are out whole keep their class's rules.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -151,9 +151,24 @@
   if (Close(id) == nullptr) return;
   ++tally().left;
   Deliver(sandstand::ClientLeft{id});
+  Withdraw(id);
   ForgetIfOver(id);
 }
 
+// Guards against sending on for nobody: the module calls off only what the settings let it, but what is not
+// written whole has not been sent at all.
+void Gateway::Withdraw(CallId id) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  std::vector<DelegationKey> out;
+  for (std::size_t i = 0; i < it->second.delegations.size(); ++i) {
+    if (it->second.delegations[i].out) out.push_back({id, static_cast<int>(i)});
+  }
+  for (const DelegationKey& key : out) {
+    if (workers_->Withdraw(key)) Ended(key, DelegationEnd::kNotSent, nullptr);
+  }
+}
+
 void Gateway::Ended(DelegationKey key, DelegationEnd end, PayloadRef answer) {
   auto it = calls_.find(key.call);
   if (it == calls_.end() || key.number >= static_cast<int>(it->second.delegations.size())) return;
@@ -177,6 +192,7 @@
     caller->Served(std::move(answer));
   }
   Deliver(std::move(event));
+  if (caller != nullptr) Withdraw(key.call);
   ForgetIfOver(key.call);
 }
 
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -82,6 +82,7 @@
   void Carry(const sandstand::FetchList& action);
   void Carry(const sandstand::Log& action);
   Caller* Close(CallId id);
+  void Withdraw(CallId id);
   void ForgetIfOver(CallId id);
   void TellTally();
 
--- a/src/net/types.hpp
+++ b/src/net/types.hpp
@@ -86,6 +86,9 @@
  public:
   virtual void Start(const Delegation& delegation) = 0;
   virtual void GiveUp(DelegationKey key) = 0;
+  // Gives up a delegation whose last byte is not written yet, so that it never runs. False: it is written, or
+  // unknown; it goes on.
+  virtual bool Withdraw(DelegationKey key) = 0;
   virtual void Locate(WorkerId worker, const Endpoint& endpoint) = 0;
   // Takes no new work: its unused connections can go, and what has not begun to be sent ends unreachable.
   virtual void Release(WorkerId worker) = 0;
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -13,6 +13,11 @@
 
 constexpr Micros kFadeEvery = 10'000'000;
 constexpr int kLooks = 8;  // idle connections of a worker that are looked at
+// A worker that has sent more than one answer to a request may do so again, some milliseconds late: for a
+// while its connections rest this long before they are used again, so that what belongs to nobody has
+// arrived.
+constexpr Micros kWaryFor = 60'000'000;
+constexpr Micros kWaryRest = 50'000;
 
 DelegationEnd Judge(const http::Message& answer) {
   if (answer.status() == 200) return DelegationEnd::kAnswered;
@@ -62,6 +67,7 @@
   }
 
   bool reusable() const { return reusable_ && channel.open(); }
+  bool written() const { return written_; }
 
   WorkerId worker;
   Endpoint endpoint;
@@ -77,6 +83,7 @@
  private:
   void Look() {
     if (!busy) {  // bytes that nobody asked for: the next answer could be mistaken
+      links_.NoteSurplus(worker);
       channel.Close();
       return links_.DropIdle(*this);
     }
@@ -88,7 +95,11 @@
     http::MessageRef answer = parser_.Take();
     // An answer before the request was written whole leaves a connection with half a request on it.
     reusable_ = answer->keep_alive() && written_ && !parser_.begun();
+    if (parser_.begun()) links_.NoteSurplus(worker);
     DelegationEnd end = Judge(*answer);
+    // A worker begins a request once its last byte has arrived. Guards against serving what was made for an
+    // earlier one: before that byte only a refusal can be meant for this.
+    if (!written_ && end != DelegationEnd::kTurnedAway) end = DelegationEnd::kUnreachable;
     links_.NoteRest(rest, true);
     links_.Finish(*this, end, std::move(answer));
   }
@@ -167,8 +178,14 @@
 // or after long.
 std::unique_ptr<WorkerLinks::Link> WorkerLinks::TakeIdle(Pool& pool) {
   Micros now = loop_.Now();
-  while (!pool.idle.empty()) {
-    auto taken = std::prev(pool.idle.end());
+  // The most recently used lie last.
+  auto end = pool.idle.end();
+  while (now < pool.wary_until && end != pool.idle.begin() &&
+         now - (*std::prev(end))->parked_at < kWaryRest) {
+    --end;
+  }
+  while (end != pool.idle.begin()) {
+    auto taken = std::prev(end);
     double least = rests_.Risk(now - (*taken)->parked_at);
     int looks = kLooks;
     for (auto it = taken; least > 0 && it != pool.idle.begin() && looks > 0; --looks) {
@@ -216,6 +233,18 @@
   Discard(std::move(link));
 }
 
+bool WorkerLinks::Withdraw(DelegationKey key) {
+  auto it = busy_.find(key);
+  if (it == busy_.end() || it->second->written()) return false;
+  GiveUp(key);
+  return true;
+}
+
+void WorkerLinks::NoteSurplus(WorkerId worker) {
+  auto it = pools_.find(worker);
+  if (it != pools_.end()) it->second.wary_until = loop_.Now() + kWaryFor;
+}
+
 void WorkerLinks::Finish(Link& link, DelegationEnd end, PayloadRef answer) {
   auto it = busy_.find(link.key);
   if (it == busy_.end()) return;
--- a/src/net/worker.hpp
+++ b/src/net/worker.hpp
@@ -27,6 +27,7 @@
 
   void Start(const Delegation& delegation) override;
   void GiveUp(DelegationKey key) override;
+  bool Withdraw(DelegationKey key) override;
   void Locate(WorkerId worker, const Endpoint& endpoint) override;
   void Release(WorkerId worker) override;
   void Forget(WorkerId worker) override;
@@ -40,10 +41,12 @@
   using LinkList = std::list<std::unique_ptr<Link>>;
   struct Pool {
     Endpoint endpoint;
-    LinkList idle;  // the most recently used last
+    LinkList idle;          // the most recently used last
+    Micros wary_until = 0;  // it has sent more than it was asked for
   };
 
   void NoteRest(Micros rest, bool kept);
+  void NoteSurplus(WorkerId worker);
   void Fade();
 
   std::unique_ptr<Link> TakeIdle(Pool& pool);
