Hear a client's end behind all that it sent, and leave no one in the kernel's queue

The acceptor reads on always; of what is sent ahead it keeps one request of the greatest size (many small ones), answers it in turn, and answers the rest with 413. - Way out: connections in the kernel's queue for which no descriptor was free were reset when the listener closed at 0.5 s. It stays until they are taken. - Way out: a request that came late in it kept its whole deadline and could be held past SIGKILL; it is answered by the longest deadline (3 s at most) and 0.6 s. - SIGHUP before the start was complete ended the process (the signal's default); signals are blocked first. - SIGHUP with another effect for a known class was ignored: the class kept its old effect. It is decided anew for what comes; what is open keeps the old one.

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -4,6 +4,7 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <cstdio>
@@ -32,6 +33,10 @@
 
 constexpr Micros kStopAccepting = 500'000;  // after SIGTERM: by then the front sends nobody here any more
 constexpr Micros kLookEvery = 10'000;       // whether all is answered
+// The platform ends a process after the longest deadline, which counts as no more than this, and 0.7 s more
+// (the protocol's page, Figures); a tenth of a second of it is for the answer to leave.
+constexpr Micros kMostDeadline = 3'000'000;
+constexpr Micros kAnswerBy = 600'000;
 
 constexpr std::size_t kOwnDescriptors = 16;  // listener, discovery, epoll, standard streams and some more
 constexpr std::size_t kKeptPart = 8;         // one in so many connections is kept for clients
@@ -74,6 +79,15 @@
   return fd;
 }
 
+sigset_t OurSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
+  return set;
+}
+
 class Proxy final : private EventSink, private ConsoleHandler, private PartSink {
  public:
   Proxy(Log& log, Config config, const std::string& operator_path)
@@ -222,13 +236,7 @@
   static WorkerLimits Reaching(const Config& config) { return {config.dial_timeout, config.idle_timeout}; }
 
   void CatchSignals() {
-    std::signal(SIGPIPE, SIG_IGN);
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigaddset(&set, SIGHUP);
-    sigprocmask(SIG_BLOCK, &set, nullptr);
+    sigset_t set = OurSignals();
     signals_ = Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     loop_.Watch(signals_.get(), this);
   }
@@ -245,7 +253,7 @@
     stopping_ = true;
     log_.Line("leaving: %zu calls open, %zu client connections", gateway_.open_calls(),
               acceptor_.connections());
-    acceptor_.Drain();
+    acceptor_.Drain(loop_.Now() + std::min(config_.longest_deadline, kMostDeadline) + kAnswerBy);
     if (peers_) peers_->Leave();
     // With the platform's socket a successor is taking the clients already: this one takes no more.
     if (acceptor_.inherited()) acceptor_.StopAccepting();
@@ -292,7 +300,8 @@
   void Leave() {
     acceptor_.Close();
     bool told = !peers_ || peers_->left();
-    if (gateway_.open_calls() == 0 && acceptor_.connections() == 0 && told) return loop_.Stop();
+    bool empty = acceptor_.closed() && acceptor_.connections() == 0;
+    if (gateway_.open_calls() == 0 && empty && told) return loop_.Stop();
     drain_timer_.Set(kLookEvery, [this] { Leave(); });
   }
 
@@ -315,6 +324,11 @@
 }  // namespace
 int Serve(const std::string& operator_path) {
   Log log(stderr, "dappletiller");
+  // Before anything else: a signal that comes while the start goes on waits for its end. Guards against a
+  // reload's signal, whose default is to end the process, ending one that has just been started.
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t set = OurSignals();
+  sigprocmask(SIG_BLOCK, &set, nullptr);
   try {
     Proxy proxy(log, Load(), operator_path);
     proxy.Run();
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -26,6 +26,8 @@
 constexpr Micros kLinger = 1'000'000;      // for a client to read why we close
 constexpr Micros kTellEvery = 10'000'000;  // that connections were ended early
 constexpr std::size_t kWaste = 64 * 1024;  // read at once of what is thrown away
+// Kept of what a client sends ahead of its answer: one request of the greatest size, or many small ones.
+constexpr std::size_t kAheadLimit = http::kHeadLimit + http::kBodyLimit;
 constexpr int kHintTimes = 16;  // hints of more than this many times a class's patience are no hints
 
 // Doubled, these would mean one thing to us and perhaps another to a worker.
@@ -68,13 +70,16 @@
     return true;
   }
 
-  // While a call is open the parser holds at most the start of the next request, and no more is read.
+  // Reads on whatever is open: the client's end lies behind all that it sent, and a call whose client has
+  // left must not be sent on. What the parser can't take goes through a buffer that all clients share.
   std::span<char> Room() override {
-    return state_ == State::kClosing ? std::span<char>(acceptor_.waste_) : parser_.Room();
+    std::span<char> room = state_ == State::kClosing || spilt_ ? std::span<char>() : parser_.Room();
+    return room.empty() ? std::span<char>(acceptor_.waste_) : room;
   }
 
   void OnBytes(std::size_t n) override {
     if (state_ == State::kClosing) return;
+    if (parser_.done() || parser_.bad() || spilt_) return Ahead(n);
     bool fresh = !parser_.begun();
     parser_.Got(n);
     if (state_ != State::kReading) return;
@@ -136,6 +141,14 @@
  private:
   enum class State { kReading, kWaiting, kWriting, kClosing };
 
+  // What came behind a whole request that waits for the answer before it. Beyond the limit nothing of it can
+  // be whole any more: it is read away, and answered with an error once its turn comes.
+  void Ahead(std::size_t n) {
+    if (parser_.bad() || spilt_) return;
+    spilt_ = parser_.held() + n > kAheadLimit;
+    if (!spilt_) parser_.Feed({acceptor_.waste_.data(), n});
+  }
+
   void Look() {
     if (parser_.bad()) return Reject(parser_.error_status(), "the request is malformed or too large");
     if (parser_.wants_continue()) {
@@ -143,6 +156,7 @@
       channel.out().Add("HTTP/1.1 100 Continue\r\n\r\n");
       channel.Flush();
     }
+    if (!parser_.done() && spilt_) return Reject(413, "too much was sent ahead of an answer");
     if (!parser_.done() || !channel.open()) return;
     http::MessageRef request = parser_.Take();
     keep_ = request->keep_alive();
@@ -194,6 +208,7 @@
     }
     // The client's time runs from its sending, so a request that came slowly has less of it left.
     arrival.deadline = began_ + patience;
+    if (acceptor_.answer_by_ != 0) arrival.deadline = std::min(arrival.deadline, acceptor_.answer_by_);
     if (auto hint = request->Find("Work-Hint")) {
       Micros work = 0;
       auto [end, failed] = std::from_chars(hint->data(), hint->data() + hint->size(), work);
@@ -241,6 +256,7 @@
   Micros began_;            // when the first bytes of the request were here, or the connection
   bool fresh_ = true;       // no request has come whole
   bool keep_ = true;
+  bool spilt_ = false;  // more was sent ahead than is kept
 };
 
 Acceptor::Acceptor(Loop& loop, Log& log, Gateway& gateway, Budget& budget, AcceptorOptions options)
@@ -274,8 +290,10 @@
     auto known = class_of_.find(names[i]);
     if (known != class_of_.end()) {
       auto place = static_cast<std::size_t>(known->second);
-      if (options_.effects[place] == effects[i]) options_.patience[place] = patience[i];
-      continue;
+      if (options_.effects[place] == effects[i]) {
+        options_.patience[place] = patience[i];
+        continue;
+      }
     }
     // The module knows only the classes it was made with: the one of this effect nearest in deadline.
     int decided = -1;
@@ -291,6 +309,7 @@
                 names[i].c_str());
       continue;
     }
+    // One whose effect has changed is a new class to all that comes: what is open keeps the old one.
     class_of_[names[i]] = static_cast<int>(options_.classes.size());
     options_.classes.push_back(names[i]);
     options_.patience.push_back(patience[i]);
@@ -424,12 +443,14 @@
 
 void Acceptor::Close() {
   if (closed_) return;
+  draining_ = true;
   // What has been accepted by the kernel is ours already, unless the platform's socket keeps it for our
-  // successor.
-  if (!inherited_) {
+  // successor. Guards against resetting what no connection is free for yet: the next call tries again.
+  if (listener_ && !inherited_) {
     for (int i = 0; i < SOMAXCONN / kAcceptsAtOnce; ++i) Accept();
+    if (Pending()) return;
   }
-  closed_ = draining_ = true;
+  closed_ = true;
   StopAccepting();
   CloseIdle();
 }
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -43,21 +43,28 @@
   void Inherit(int fd);
   bool inherited() const { return inherited_; }
   std::uint16_t port() const { return port_; }
-  // From now on every answer asks its client to leave; new connections are still served.
-  void Drain() { draining_ = true; }
+  // From now on every answer asks its client to leave; new connections are still served. Calls that come from
+  // now on are answered by `answer_by` (on the loop's clock): the process may be gone after it.
+  void Drain(Micros answer_by) {
+    draining_ = true;
+    answer_by_ = answer_by;
+  }
   // The operators' lame duck: `/up` says no, every answer asks its client to leave and idle connections go
   // now; off again, all is as before unless a SIGTERM came meanwhile.
   void Lameduck(bool on);
   bool lameduck() const { return lameduck_; }
   // No more connections are taken; those open are served on.
   void StopAccepting();
-  // No more connections; what is open ends with its answer, what is idle ends now.
+  // No more connections; what is open ends with its answer, what is idle ends now. While connections wait in
+  // the kernel for which there is no room, the listener stays: to be called again until closed().
   void Close();
+  bool closed() const { return closed_; }
   std::size_t connections() const { return conns_.size(); }
   // Of the connections that clients may hold for calls; the surplus goes as soon as it is unused.
   void Resize(std::size_t places) { room_.Resize(places); }
-  // Classes from a reload: a new name is added, a known one takes its new patience; calls that are open keep
-  // what they had. A class that is no longer named stays known, so that a late client is still served.
+  // Classes from a reload: a new name is added, a known one takes its new patience, and one with another
+  // effect is decided as a new one from then on; calls that are open keep what they had. A class that is no
+  // longer named stays known, so that a late client is still served.
   void Retune(const std::vector<std::string>& names, const std::vector<Micros>& patience,
               const std::vector<sandstand::Effect>& effects);
 
@@ -92,6 +99,7 @@
   limits::ClientRoom room_;
   limits::ClientRoom::Id ids_ = 0;
   bool draining_ = false;
+  Micros answer_by_ = 0;  // once draining
   bool lameduck_ = false;
   bool inherited_ = false;
   bool closed_ = false;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -73,6 +73,7 @@
   bool bad() const { return state_ == State::kBad; }
   int error_status() const { return error_; }  // 400, 413 or 431
   bool begun() const { return used_ > 0; }     // part of a message is here
+  std::size_t held() const { return used_; }   // bytes of a message, and of what waits behind it
   bool wants_continue() const { return wants_continue_; }
   void continued() { wants_continue_ = false; }
   // Hands over the message and goes on with the bytes that follow it.
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -573,7 +573,7 @@
   Peer idle = rig.Client();
   held.Say(Check("a1"));
   rig.Request(worker, "a1");
-  rig.acceptor.Drain();
+  rig.acceptor.Drain(rig.loop.Now() + kBound);
   Peer late = rig.Client();
   late.Say(Check("a2"));
   rig.Request(worker, "a2").Say(Answer(200, "two"));
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -39,6 +39,11 @@
     REQUIRE(::connect(fd.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
     return Peer(std::move(fd));
   }
+  // As much as the kernel takes now.
+  std::size_t Try(std::string_view bytes) {
+    ssize_t n = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+  }
   void Say(std::string_view text) { ::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL); }
   // Takes what has come; `ended` turns true once the other side has closed or reset.
   const std::string& Heard() {
@@ -74,16 +79,25 @@
 class Host {
  public:
   // `handed_down`: kept open across exec, as the platform's socket is for the program.
-  explicit Host(bool handed_down = false)
+  // `shut`: the kernel drops those who connect until Open().
+  explicit Host(bool handed_down = false, bool shut = false)
       : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | (handed_down ? 0 : SOCK_CLOEXEC), 0)) {
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(kLoopback);
     socklen_t size = sizeof at;
     REQUIRE(::bind(fd_.get(), reinterpret_cast<sockaddr*>(&at), size) == 0);
-    REQUIRE(::listen(fd_.get(), 64) == 0);
+    REQUIRE(::listen(fd_.get(), shut ? 0 : 64) == 0);
     REQUIRE(::getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&at), &size) == 0);
     port = ntohs(at.sin_port);
+    // A queue of one, and one in it: the next ones' first packets are dropped.
+    if (shut) plug_.push_back(Peer::Dial(port));
+  }
+  // The queue is emptied: the kernels' next tries come through.
+  void Open() {
+    REQUIRE(::listen(fd_.get(), 64) == 0);
+    Fd plug(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    plug_.clear();
   }
   bool Accept() {  // true once another connection has come; it is the last of `peers`
     Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
@@ -99,6 +113,7 @@
 
  private:
   Fd fd_;
+  std::vector<Peer> plug_;
 };
 
 inline sandstand::Settings Rules() {
