Keep the console's callers within the descriptors, and test signals during the start

Cause: the console's callers (32) were in no count: the process keeps 16 descriptors out of the budget, uses 9 of them, and went to 67 and more of 64 when clients and workers held the rest (counted in /proc). 8 callers now, and the process keeps 24; the oldest silent caller still makes room.

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -38,8 +38,11 @@
 constexpr Micros kMostDeadline = 3'000'000;
 constexpr Micros kAnswerBy = 600'000;
 
-constexpr std::size_t kOwnDescriptors = 16;  // listener, discovery, epoll, standard streams and some more
-constexpr std::size_t kKeptPart = 8;         // one in so many connections is kept for clients
+// Kept out of the budget: listeners, discovery, epoll, signals, standard streams, a file while it is read;
+// and the console's callers, so that the list's watch can be opened anew when clients and workers hold all
+// the rest.
+constexpr std::size_t kOwnDescriptors = 16 + Console::kMostCallers;
+constexpr std::size_t kKeptPart = 8;    // one in so many connections is kept for clients
 constexpr std::size_t kPlacesPart = 3;  // one in so many descriptors is the most that clients hold for calls
 
 Config Load() {
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -159,7 +159,7 @@
   config.discovery = Address(root, "discovery");
   config.discovery_text = Text(root, "discovery");
   config.sockets = static_cast<std::size_t>(Number(Member(root, "limits"), "sockets"));
-  if (config.sockets < 32) throw ConfigError("limits.sockets leaves no room to work");
+  if (config.sockets < 40) throw ConfigError("limits.sockets leaves no room to work");
   const Json::Value& settings = Member(root, "settings");
   std::string lines;
   Flatten("", settings, &lines);
--- a/src/net/console.hpp
+++ b/src/net/console.hpp
@@ -33,8 +33,8 @@
 
 class Console final : private EventSink {
  public:
-  static constexpr Micros kCallTime = 900'000;  // a caller waits 1 s at most
-  static constexpr std::size_t kMostCallers = 32;
+  static constexpr Micros kCallTime = 900'000;    // a caller waits 1 s at most
+  static constexpr std::size_t kMostCallers = 8;  // of the descriptors that the process keeps for itself
 
   Console(Loop& loop, Log& log, ConsoleHandler& handler);
   ~Console();
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -1,5 +1,6 @@
 // One test with real sockets for each rule and for each trap of the network code.
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -7,6 +8,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
+#include <filesystem>
 #include <fstream>
 #include <string>
 
@@ -791,11 +793,13 @@
 
 class Program {
  public:
-  // `env`: more of the environment, as name and value.
+  // `env`: more of the environment, as name and value. `piped`: the configuration is a pipe, so that the
+  // program waits in its start until Hand().
   explicit Program(const std::string& config,
-                   const std::vector<std::pair<std::string, std::string>>& env = {}) {
+                   const std::vector<std::pair<std::string, std::string>>& env = {}, bool piped = false) {
     std::string path = folder_ + "/config.json";
-    Write(config);
+    if (piped) REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+    if (!piped) Write(config);
     pid_ = ::fork();
     REQUIRE(pid_ >= 0);
     if (pid_ == 0) {
@@ -827,8 +831,27 @@
     std::ifstream in(folder_ + "/log");
     return {std::istreambuf_iterator<char>(in), {}};
   }
+  // Waits until the program reads its piped configuration; then `before` happens, and it gets it.
+  void Hand(
+      const std::string& config, const std::function<void()>& before = [] {}) {
+    for (int i = 0; i < 2'000; ++i) {
+      Fd pipe(::open((folder_ + "/config.json").c_str(), O_WRONLY | O_NONBLOCK));  // fails without a reader
+      if (!pipe) {
+        ::poll(nullptr, 0, 10);
+        continue;
+      }
+      before();
+      REQUIRE(::write(pipe.get(), config.data(), config.size()) == static_cast<ssize_t>(config.size()));
+      return;
+    }
+    FAIL("the program never read its configuration");
+  }
   void Write(const std::string& config) { std::ofstream(folder_ + "/config.json") << config; }
   void Signal(int number) { ::kill(pid_, number); }
+  std::size_t Descriptors() const {  // open now
+    auto all = std::filesystem::directory_iterator("/proc/" + std::to_string(pid_) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+  }
 
  private:
   static std::string MakeFolder() {
@@ -933,6 +956,49 @@
   CHECK(program.Wait() == 0);
 }
 
+// Guards against a reload's or a stop's signal ending a process in the middle of its start, by the signal's
+// default: both wait for the start's end, and come in one read.
+TEST_CASE("signals that come before the start is complete are heard after it") {
+  Host worker;
+  std::string config = ProgramConfig(0, worker.port);
+  Program program(config, {}, true);
+  program.Hand(config, [&] {
+    program.Signal(SIGHUP);
+    program.Signal(SIGTERM);
+    program.Signal(SIGTERM);
+  });
+  Rig outside;  // for its bounded waits only
+  outside.Until("it is up", [&] { return program.Said().find("workers known\n") != std::string::npos; });
+  program.Hand(config);  // the reload reads it again
+  CHECK(program.Wait() == 0);
+  std::string said = program.Said();
+  CHECK(said.find("reload: done") != std::string::npos);
+  CHECK(said.find("leaving: ") != std::string::npos);
+}
+
+// Guards against a process that waits on its way out for a call whose client has gone.
+TEST_CASE(
+    "SIGTERM, and the client leaves behind a whole next request: the call is called off, the program ends") {
+  Host worker;
+  std::string config = ProgramConfig(0, worker.port);
+  std::string patient = "\"giveUp\":20000000";
+  config.replace(config.find(patient), patient.size(), "\"giveUp\":600000000");
+  Program program(config);
+  Rig outside;  // for its bounded waits only
+  outside.Until("it is up", [&] { return program.Said().find("workers known\n") != std::string::npos; });
+  std::string said = program.Said();
+  Peer client = Peer::Dial(static_cast<std::uint16_t>(std::atoi(said.c_str() + said.find("port ") + 5)));
+  client.Say("GET /api HTTP/1.1\r\nRequest-Id: a1\r\nRequest-Class: check\r\n\r\n");
+  Peer& at = outside.Request(worker, "a1");
+  program.Signal(SIGTERM);
+  outside.Until("it is leaving", [&] { return program.Said().find("leaving") != std::string::npos; });
+  client.Say(Check("a2"));
+  client.Close();
+  outside.Until("the worker sees the end", [&] { return at.Ended(); });
+  CHECK(program.Wait() == 0);
+  CHECK_FALSE(worker.Accept());  // nor is the next one sent on
+}
+
 TEST_CASE("the program says in one line why it can't start") {
   Host taken;
   for (const std::string& config :
@@ -972,6 +1038,30 @@
   Host socket{true};
 };
 
+// Guards against going over the platform's limit, and against a watch that can't be opened anew for want of a
+// descriptor, when clients, workers and the console's callers take all that they may.
+TEST_CASE("with clients, workers and console callers at their bounds the limit on descriptors holds") {
+  Host worker;
+  std::string config = ProgramConfig(0, worker.port);
+  std::string limit = "\"sockets\":256";
+  config.replace(config.find(limit), limit.size(), "\"sockets\":64");
+  Program program(config, {{"BALANCER_CONSOLE", "127.0.0.1:0"}});
+  Rig outside;  // for its bounded waits only
+  std::uint16_t console = PortAfter(outside, program, "console on port ");
+  std::uint16_t port = PortAfter(outside, program, "started as n0 on port ");
+  std::vector<Peer> crowd, callers;
+  for (int i = 0; i < 80; ++i) {
+    crowd.push_back(Peer::Dial(port));
+    crowd.back().Say(Check("a" + std::to_string(i)));
+  }
+  outside.Until("the budget is used up",
+                [&] { return program.Said().find("connections in use") != std::string::npos; });
+  for (int i = 0; i < 40; ++i) callers.push_back(Peer::Dial(console));
+  CHECK(Ask(outside, console, "GET /_ready") == 200);  // those before it have been taken
+  CHECK(program.Descriptors() <= 64);
+  CHECK(program.Said().find("accept failed") == std::string::npos);
+}
+
 TEST_CASE("upgrade: detach, a successor on the same socket, attach there; a successor that can't start") {
   Host worker;
   Platform platform;
