--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -19,9 +19,10 @@
 
 constexpr int kAcceptsAtOnce = 64;
 constexpr Micros kRetryAccept = 50'000;
-constexpr Micros kHeadTime =
-    2'400'000;  // for a request to come whole, from its first byte or from connecting
-constexpr Micros kIdleTime = 2'100'000;    // without any request
+// For a request to come whole, from its first byte or from connecting: who sends none is due an error or a
+// close within 3 s of connecting (the later days' page, Bad clients).
+constexpr Micros kHeadTime = 2'400'000;
+constexpr Micros kIdleTime = 2'100'000;    // without any request; it may end after 2 s (there, The long day)
 constexpr Micros kWriteTime = 10'000'000;  // for a client to take its answer
 constexpr Micros kLinger = 1'000'000;      // for a client to read why we close
 constexpr Micros kTellEvery = 10'000'000;  // that connections were ended early
