Let a class wait a third of its own aim where aims lie far apart

Ruled out: failures (none), drains, dials, quotas (all tenants alike). At fault: Patience bounds every class's wait by the shortest aim, which assumes that aims lie close together; a class whose own work is longer than that was refused at the first wait. Now at least a third of its own time. Test: aims of 100 ms and 3.5 s, sent at a wait of 400 ms and still refused at 900.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,8 +1,7 @@
 // All decisions of sandstand. The interface (types, events, actions) is include/sandstand/balancer.hpp.
-//
 // The mechanism is CDA: a request whose hint exceeds the cutoff is long, all others are short. Shorts leave
-// on arrival by rotation. Longs wait in a buffer, smallest aged estimate first, for a server that holds
-// nothing of ours, and reserve it until they end. All else is explained in place and in docs/design.md.
+// on arrival by rotation. Longs wait, smallest aged estimate first, for a server that holds nothing of ours,
+// and reserve it until they end. All else is explained in place and in docs/design.md.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -40,6 +39,7 @@
 constexpr double kWaitStep = 0.05;       // learning step of the usual wait, in mean service times
 constexpr double kForget = 0.2;          // weight of a refusal against the usual wait, next to an answer's
 constexpr double kPatience = 0.7;        // part of the time left to the aim that waiting may take
+constexpr double kOwnAim = 1.0 / 3;      // of its own time, at least, where aims lie far apart
 constexpr double kPatienceLeast = 0.25;  // of that, the part granted to a request of no worth
 constexpr double kRoom = 0.5;            // part of the time to the aim within which any server is as good
 constexpr double kLongJam = 2;           // times the usual wait that a long must have room for
@@ -892,15 +892,15 @@
     return worth;
   }
 
-  // How long it may wait and still be worth its place; the less it is worth the sooner it is refused. Queues
-  // are shared: a class with a wide aim must not fill them beyond what that with the shortest can bear.
+  // How long it may wait and be worth its place; the less it is worth the sooner it is refused. Queues are
+  // shared: where aims are alike, one with a wide aim must not fill them beyond what the shortest can bear.
   double Patience(const Request& request, double service) const {
     double left = request.aim_at - now_ - service;
     if (left <= 0) {
       double late_worth = set_.classes[request.request_class].late_worth;
       left = late_worth * (request.deadline - now_ - service);
     }
-    left = std::clamp(left, 0.0, shortest_aim_);
+    left = std::clamp(left, 0.0, std::max(shortest_aim_, kOwnAim * left));
     return left * kPatience * (kPatienceLeast + (1 - kPatienceLeast) * request.worth);
   }
 
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -301,6 +301,25 @@
   }
 }
 
+// ---- The dial ----
+
+// Guards against a call that waits for a machine which has vanished: its first packet is dropped, nothing
+// comes back. What was never written never ran, so that even an unsafe call goes elsewhere.
+TEST_CASE("a dial that does not come up in its time ends, and another worker serves") {
+  Rig rig;
+  rig.workers.SetLimits({50 * kMs, kBound});
+  Host shut(false, true), other;
+  rig.Know({&shut});
+  Peer client = rig.Client();
+  client.Say(Pay("a1"));
+  rig.Until("it is dialled", [&] { return rig.workers.connections() == 1; });
+  rig.Know({&other}, WorkerList::Kind::kChanges);
+  rig.Request(other, "a1").Say(Answer(200, "one"));
+  rig.Hears(client, "one");
+  CHECK(rig.workers.connections() == 1);  // to the other alone
+  Settles(rig);
+}
+
 // ---- Drain ----
 
 // Guards against what waits for one leaving worker being sent to another that is leaving by the same list.
--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -46,6 +46,21 @@
   }
 }
 
+// Guards against a site whose aims lie far apart: what is nothing to the class with the wide aim was more
+// than all of the short one's time, and it was refused with its workers idle.
+TEST(Admission, WhereAimsLieFarApartAClassMayWaitAPartOfItsOwn) {
+  for (Micros wait : {400 * kMs, 900 * kMs}) {
+    Settings s = BasicSettings();
+    s.classes[kSafeClass].aim = 3500 * kMs;
+    s.classes[kKeyedClass].aim = 100 * kMs;
+    Gateway g(s);
+    g.List({Entry(1)});
+    Stick(g, wait);
+    g.Arrive(1, kShort, kSafeClass);
+    EXPECT_EQ(g.Sent(1), wait == 400 * kMs);
+  }
+}
+
 TEST(Admission, LowWorthIsRefusedFirst) {
   Settings s = BasicSettings();
   s.classes[kKeyedClass].worth = 0.1;
