Tell a reset from an end, and begin no attempt past its client or its window

Cause of the first: Channel::Read and Flush ended a stream the same way for an end and for an error, and Link and Asker took either for the end of the message. The driver now tells its owner how a stream ended. The kernel tells of an error once, so one that a look ahead (MSG_PEEK), a write or SO_ERROR was told of counts at the end, as does one in the same round as an end. The rig's links turned a reset into an end too; they pass it on. A write that fails within a read leaves the rest to be read first.

Cause of the second: the window was held against the decision, and connections come up to 1.5 s later. The module now says until when an attempt has to be written whole (Send::write_within); what is not is taken back. The same way an attempt begins only while its client is there as the kernel knows it.

--- a/include/sandstand/balancer.hpp
+++ b/include/sandstand/balancer.hpp
@@ -159,6 +159,7 @@
   RequestId id = 0;
   ServerId server = 0;
   Micros timeout = 0;
+  Micros write_within = 0;  // its last byte has to leave within this, or it must not be sent: at most timeout
 };
 struct Refuse {  // final: trying again is harmless
   RequestId id = 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -677,6 +677,7 @@
   // ---- Attempts and deadlines ----
 
   void SendTo(Request& request, Server& server) {
+    Micros send_by = SendBy(request);
     int number = static_cast<int>(request.attempts.size());
     Attempt attempt;
     attempt.server = server.entry.id;
@@ -704,24 +705,25 @@
       server.cold_next = std::max(now_, server.cold_next) + Micros(request.work / ColdRate(server));
     Place(server);
     alarms_.insert({attempt.doubt_at, Alarm::kStuck, request.id});
-    Act(Send{request.id, server.entry.id, request.deadline - now_});
+    Act(Send{request.id, server.entry.id, request.deadline - now_, send_by - now_});
   }
 
   static const Attempt* FirstThatMayHaveRun(const Request& request) {
-    for (const Attempt& a : request.attempts) {
-      if (a.may_have_run) return &a;
-    }
-    return nullptr;
+    auto first = std::find_if(request.attempts.begin(), request.attempts.end(),
+                              [](const Attempt& a) { return a.may_have_run; });
+    return first == request.attempts.end() ? nullptr : &*first;
   }
 
-  // No effect twice: whether another attempt is allowed at all.
-  bool MayRepeat(const Request& request) const {
-    if (static_cast<int>(request.attempts.size()) >= set_.max_attempts || now_ >= request.deadline)
-      return false;
+  // No effect twice: until when another attempt may be sent, also where its connection comes up late.
+  Micros SendBy(const Request& request) const {
     const ClassSettings& c = set_.classes[request.request_class];
     const Attempt* first = FirstThatMayHaveRun(request);
-    if (first == nullptr || c.effect == Effect::kSafe) return true;
-    return c.effect == Effect::kKeyed && now_ < first->sent + c.window;
+    if (first == nullptr || c.effect == Effect::kSafe) return request.deadline;
+    return c.effect == Effect::kKeyed ? std::min(request.deadline, first->sent + c.window) : 0;
+  }
+
+  bool MayRepeat(const Request& request) const {
+    return static_cast<int>(request.attempts.size()) < set_.max_attempts && now_ < SendBy(request);
   }
 
   // A refusal promises that trying again is harmless.
@@ -810,9 +812,8 @@
     if (MayRepeat(request) && (!may_have_run || PayExtra())) {
       Pick pick = PickRepeat(request);
       // What can't be refused any more fails instead: even a late answer is worth more than that.
-      if (pick.server != nullptr && (!MayRefuse(request) || !TooLate(request, pick))) {
+      if (pick.server != nullptr && (!MayRefuse(request) || !TooLate(request, pick)))
         return SendTo(request, *pick.server);
-      }
     }
     GiveUp(request);
   }
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -116,7 +116,7 @@
     }
   }
 
-  void OnGone() override { acceptor_.Drop(*this); }
+  void OnGone(StreamEnd) override { acceptor_.Drop(*this); }
 
   void Served(PayloadRef answer) override {
     auto message = std::static_pointer_cast<const http::Message>(std::move(answer));
@@ -126,6 +126,7 @@
   }
   void Overloaded(Micros retry_after) override { Say(503, "overloaded, try again later", retry_after); }
   void Failed() override { Say(502, "no worker answered", 0); }
+  bool Gone() const override { return channel.PeerEnded(); }
 
   // A client that goes while its call is open has left it.
   void End() {
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -24,6 +25,7 @@
 
 bool Channel::Register() {
   SetNoDelay(fd_.get());
+  broken_ = false;
   token_ = loop_.Watch(fd_.get(), this);
   if (token_ == 0) fd_.Reset();
   return token_ != 0;
@@ -52,14 +54,12 @@
 
 void Channel::OnReady(std::uint32_t events) {
   if (connecting_) {
-    int error = 0;
-    socklen_t size = sizeof error;
-    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
-    if (error != 0 || (events & (EPOLLERR | EPOLLHUP)) != 0) return Gone();
+    if (TakeError() != 0 || (events & (EPOLLERR | EPOLLHUP)) != 0) return Gone(StreamEnd::kBroken);
     if ((events & EPOLLOUT) == 0) return;
     connecting_ = false;
     owner_.OnConnected();
   }
+  if ((events & EPOLLERR) != 0) broken_ = true;
   // Reading comes first: an answer that came before the connection broke is still an answer.
   if (open() && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
     readable_ = true;
@@ -82,13 +82,14 @@
     if (n > 0) {
       owner_.OnBytes(static_cast<std::size_t>(n));
     } else if (n == 0) {
+      // An end that an error has overtaken, or whose error somebody else was told of, ends here too.
       readable_ = false;
-      Gone();
+      Gone(broken_ || TakeError() != 0 ? StreamEnd::kBroken : StreamEnd::kOrderly);
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       readable_ = false;
     } else if (errno != EINTR) {
       readable_ = false;
-      Gone();
+      Gone(StreamEnd::kBroken);
     }
   }
   reading_ = false;
@@ -102,6 +103,7 @@
   if (!open() || connecting_) return;
   bool had = !out_.empty();
   while (!out_.empty()) {
+    if (!owner_.MayWrite() || !open()) return;
     std::array<iovec, kPieces> pieces;
     msghdr message{};
     message.msg_iov = pieces.data();
@@ -112,20 +114,39 @@
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       return;  // EPOLLOUT comes when there is room
     } else if (errno != EINTR) {
-      // The other side may have answered before it broke off: what it said counts first.
+      // The other side may have answered before it broke off: what it said counts first. Within a read it
+      // is still being heard out: the next round comes here again.
+      broken_ = true;
+      if (reading_) return loop_.Again(token_, EPOLLOUT);
       readable_ = true;
       Read();
-      if (open()) Gone();
+      if (open()) Gone(StreamEnd::kBroken);
       return;
     }
   }
   if (had) owner_.OnWritten();
 }
 
-bool Channel::Stale() const {
+bool Channel::Stale() {
   char byte;
   ssize_t n = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  if (n >= 0) return true;
+  if (errno == EAGAIN || errno == EWOULDBLOCK) return false;
+  broken_ = true;  // this look was the one that was told
+  return true;
+}
+
+bool Channel::PeerEnded() const {
+  if (!open()) return true;
+  pollfd end{fd_.get(), POLLRDHUP, 0};
+  return ::poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+int Channel::TakeError() {
+  int error = 0;
+  socklen_t size = sizeof error;
+  ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+  return error;
 }
 
 std::uint16_t Channel::local_port() const {
@@ -139,9 +160,16 @@
   if (open()) ::shutdown(fd_.get(), SHUT_WR);
 }
 
-void Channel::Gone() {
+void Channel::Gone(StreamEnd how) {
+  Close();
+  owner_.OnGone(how);
+}
+
+void Channel::Break() {
+  if (!fd_) return;
+  linger hard{1, 0};
+  ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
   Close();
-  owner_.OnGone();
 }
 
 void Channel::Close() {
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -10,6 +10,11 @@
 
 namespace dappletiller {
 
+// How a stream ended. A reset, or any other error that was met by the end, is no orderly end, whoever met it
+// and however much could still be read: what lasts until the end of its stream is whole only after kOrderly
+// (RFC 9112, 6.3 and 8).
+enum class StreamEnd { kOrderly, kBroken };
+
 class Channel final : private EventSink {
  public:
   // Callbacks may close the channel, but must leave freeing it to Loop::Dispose.
@@ -19,7 +24,10 @@
     virtual void OnBytes(std::size_t n) = 0;
     virtual void OnConnected() {}
     virtual void OnWritten() {}  // all that was to be written is
-    virtual void OnGone() = 0;   // nothing more will come; not called after Close
+    // Asked each time before bytes go to the kernel. False: none do; the owner has closed the channel, or
+    // flushes again once they may.
+    virtual bool MayWrite() { return true; }
+    virtual void OnGone(StreamEnd how) = 0;  // nothing more will come; not called after Close
 
    protected:
     ~Owner() = default;
@@ -38,14 +46,18 @@
   void Flush();   // writes what is in out() as far as it goes now
   void Resume();  // there is room again
   // Whether the other side has closed, or sent something, without our having been told yet.
-  bool Stale() const;
+  bool Stale();
+  // Whether the other side has ended or broken the stream, also where that lies behind unread bytes.
+  bool PeerEnded() const;
   void EndSending();  // half-close
   void Close();
+  void Break();  // closes so that the other side meets a reset, not an end
 
  private:
   void OnReady(std::uint32_t events) override;
   void Read();
-  void Gone();
+  void Gone(StreamEnd how);
+  int TakeError();
   bool Register();
 
   Loop& loop_;
@@ -56,6 +68,8 @@
   bool connecting_ = false;
   bool reading_ = false;  // within Read: a callback's Resume must not nest
   bool readable_ = false;
+  // The kernel tells of an error once, to whichever call comes first; after that the stream looks ended.
+  bool broken_ = false;
 };
 
 }  // namespace dappletiller
--- a/src/net/console.cpp
+++ b/src/net/console.cpp
@@ -35,7 +35,7 @@
   void OnWritten() override {
     if (answered_) console_.Drop(id_);
   }
-  void OnGone() override { console_.Drop(id_); }
+  void OnGone(StreamEnd) override { console_.Drop(id_); }
 
   Channel channel;
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -47,8 +47,8 @@
     parser_.Got(n);
     Look();
   }
-  void OnGone() override {
-    parser_.Ended();
+  void OnGone(StreamEnd how) override {
+    if (how == StreamEnd::kOrderly) parser_.Ended();
     if (asking && parser_.done()) return Look();
     if (asking) discovery_.Failed(*this, "connection lost");
   }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -164,9 +164,30 @@
   for (std::size_t i = 0; i < it->second.delegations.size(); ++i) {
     if (it->second.delegations[i].out) out.push_back({id, static_cast<int>(i)});
   }
-  for (const DelegationKey& key : out) {
-    if (workers_->Withdraw(key)) Ended(key, DelegationEnd::kNotSent, nullptr);
-  }
+  for (const DelegationKey& key : out) TakeBack(key);
+}
+
+// Guards against what becomes due while its bytes can't leave yet: a connection that comes up late, a process
+// that stood still. The client's end may lie in the kernel behind what this round still handles.
+bool Gateway::MayWrite(DelegationKey key) {
+  auto it = calls_.find(key.call);
+  // Not one of ours: nothing here speaks against it.
+  if (it == calls_.end() || key.number >= static_cast<int>(it->second.delegations.size())) return true;
+  Call& call = it->second;
+  if (call.caller != nullptr && call.caller->Gone()) Left(key.call);
+  // Left forgets the call if nothing of it is out any more.
+  it = calls_.find(key.call);
+  if (it == calls_.end()) return false;
+  const Sent& sent = it->second.delegations[static_cast<std::size_t>(key.number)];
+  if (!sent.out) return false;
+  if (loop_.Now() < sent.write_by) return true;
+  TakeBack(key);
+  return false;
+}
+
+// Gives up what has not been written whole: it never runs.
+void Gateway::TakeBack(DelegationKey key) {
+  if (workers_->Withdraw(key)) Ended(key, DelegationEnd::kNotSent, nullptr);
 }
 
 void Gateway::Ended(DelegationKey key, DelegationEnd end, PayloadRef answer) {
@@ -177,6 +198,7 @@
   if (!sent.out) return;
   sent.out = false;
   sent.limit.reset();
+  sent.unwritten.reset();
   --it->second.out;
   ++tally().ended[static_cast<std::size_t>(end)];
   // The first answer of a worker is the call's; a later one comes to nobody.
@@ -300,6 +322,11 @@
     workers_->GiveUp(key);
     Ended(key, DelegationEnd::kTimedOut, nullptr);
   });
+  sent.write_by = sent.at + action.write_within;
+  if (action.write_within < action.timeout) {
+    sent.unwritten = std::make_unique<Timer>(loop_);
+    sent.unwritten->Set(action.write_within, [this, key] { TakeBack(key); });
+  }
   workers_->Start({key, action.server, action.timeout, call.payload});
 }
 
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -31,6 +31,9 @@
   CallId NewCall() { return ++calls_begun_; }
   void Arrive(CallId id, Arrival arrival, Caller& caller);
   void Left(CallId id);
+  // From the workers' side: bytes of an attempt are about to be handed to the kernel. False: none may, since
+  // its client has gone or its time to be written is over; the attempt has then been given up and ended.
+  bool MayWrite(DelegationKey key);
   // From the workers' side: how a delegation ended; unknown ones are ignored.
   void Ended(DelegationKey key, DelegationEnd end, PayloadRef answer);
   // From discovery.
@@ -56,7 +59,9 @@
   struct Sent {
     bool out = true;
     Micros at = 0;
+    Micros write_by = 0;  // not written whole by then, it is taken back
     std::unique_ptr<Timer> limit;
+    std::unique_ptr<Timer> unwritten;  // until write_by, if that comes before the limit
   };
   struct Call {
     Caller* caller = nullptr;  // null once it has its answer or has left
@@ -83,6 +88,7 @@
   void Carry(const sandstand::Log& action);
   Caller* Close(CallId id);
   void Withdraw(CallId id);
+  void TakeBack(DelegationKey key);
   void ForgetIfOver(CallId id);
   void TellTally();
 
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -67,7 +67,7 @@
   std::span<char> Room();
   void Got(std::size_t n);
   void Feed(std::string_view bytes);  // the two in one, for callers that have the bytes already
-  void Ended();                       // no more bytes will come
+  void Ended();                       // the stream ended in order; after a reset nothing more is whole
 
   bool done() const { return state_ == State::kDone; }
   bool bad() const { return state_ == State::kBad; }
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -142,7 +142,7 @@
     peers_.Carry();
   }
   // The asker closes once it has its answer.
-  void OnGone() override { peers_.Drop(id_); }
+  void OnGone(StreamEnd) override { peers_.Drop(id_); }
   Channel channel;
 
  private:
--- a/src/net/types.hpp
+++ b/src/net/types.hpp
@@ -47,6 +47,8 @@
   virtual void Served(PayloadRef answer) = 0;
   virtual void Overloaded(Micros retry_after) = 0;  // 0: no advice
   virtual void Failed() = 0;
+  // Whether the client has gone, as the kernel knows it now: its end may not have been read yet.
+  virtual bool Gone() const = 0;
 
  protected:
   ~Caller() = default;
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -39,8 +39,10 @@
     busy = true;
     written_ = false;
     // The payload is ours: this is the only protocol whose calls reach these links.
-    auto request = std::static_pointer_cast<const http::Message>(delegation.payload);
-    http::WriteRequest(request, delegation.wait, &channel.out());
+    request_ = std::static_pointer_cast<const http::Message>(delegation.payload);
+    wait_until_ = links_.loop_.Now() + delegation.wait;
+    if (!up) return;
+    Write();
     channel.Flush();
   }
 
@@ -49,7 +51,9 @@
   void OnConnected() override {
     up = true;
     timer.Clear();
+    Write();
   }
+  bool MayWrite() override { return links_.gateway_.MayWrite(key); }
   void OnWritten() override { written_ = true; }
 
   void OnBytes(std::size_t n) override {
@@ -57,8 +61,8 @@
     Look();
   }
 
-  void OnGone() override {
-    parser_.Ended();
+  void OnGone(StreamEnd how) override {
+    if (how == StreamEnd::kOrderly) parser_.Ended();
     if (busy && parser_.done()) return Look();
     if (!busy) return links_.DropIdle(*this);
     if (written_ && !parser_.begun()) links_.NoteRest(rest, false);
@@ -81,6 +85,13 @@
   Micros rest = -1;  // before the delegation at hand; none on a new connection
 
  private:
+  // Once the connection is up, not before: guards against telling more time than the client still has, by as
+  // much as the dialling took.
+  void Write() {
+    http::WriteRequest(request_, wait_until_ - links_.loop_.Now(), &channel.out());
+    request_ = nullptr;
+  }
+
   void Look() {
     if (!busy) {  // bytes that nobody asked for: the next answer could be mistaken
       links_.NoteSurplus(worker);
@@ -106,6 +117,8 @@
 
   WorkerLinks& links_;
   http::Parser parser_{http::Parser::Kind::kResponse};
+  http::MessageRef request_;  // until it is in the channel's hands
+  Micros wait_until_ = 0;
   bool written_ = false;
   bool reusable_ = false;
 };
--- a/src/rig/links.cpp
+++ b/src/rig/links.cpp
@@ -156,8 +156,9 @@
       Push();
     }
     void OnConnected() override { stream.Wake(); }
-    void OnGone() override {
+    void OnGone(StreamEnd how) override {
       ended = true;
+      broken = how == StreamEnd::kBroken;
       Push();
     }
     void Push() {
@@ -178,7 +179,8 @@
       if (!queue.empty()) {
         timer.Set(queue.front().first - now, [this] { Push(); });
       } else if (ended && (stream.dialled_ || this == &stream.there_)) {
-        // What this side said is all passed on: the other side may know that it has gone.
+        // What this side said is all passed on: the other side may know that it has gone, and how.
+        if (broken) to.channel.Break();
         stream.End();
       }
     }
@@ -191,6 +193,7 @@
     std::size_t queued = 0;
     Micros last = 0;
     bool ended = false;
+    bool broken = false;  // not by an orderly end
   };
 
   void Dial() {
--- a/src/rig/standins.cpp
+++ b/src/rig/standins.cpp
@@ -39,7 +39,7 @@
     busy = true;
     server_.Take(id_, parser_.Take());
   }
-  void OnGone() override { server_.Drop(id_); }
+  void OnGone(StreamEnd) override { server_.Drop(id_); }
   void Next() {
     busy = false;
     if (parser_.done()) {
@@ -261,7 +261,7 @@
                                                      : Fared::kFailed);
   }
   void OnConnected() override { connected = true; }
-  void OnGone() override { clients.End(id, connected ? Fared::kLost : Fared::kUnreachable); }
+  void OnGone(StreamEnd) override { clients.End(id, connected ? Fared::kLost : Fared::kUnreachable); }
 
   Clients& clients;
   std::uint64_t id;
@@ -355,7 +355,7 @@
     auto answer = parser.Take();
     questions.End(id, answer->status(), std::string(answer->body()));
   }
-  void OnGone() override { questions.End(id, 0, {}); }
+  void OnGone(StreamEnd) override { questions.End(id, 0, {}); }
   Questions& questions;
   std::uint64_t id;
   std::function<void(int, std::string)> done;
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -62,6 +62,8 @@
   bool Has(std::string_view part) { return Heard().find(part) != std::string::npos; }
   bool Ended() { return Heard(), ended; }
   void Close() { fd_.Reset(); }
+  void EndSending() { ::shutdown(fd_.get(), SHUT_WR); }
+  Fd Release() { return std::move(fd_); }  // to another owner
   void Abort() {  // ends in a reset
     linger hard{1, 0};
     ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
@@ -247,6 +249,7 @@
   void Served(PayloadRef) override { ++served; }
   void Overloaded(Micros) override { ++other; }
   void Failed() override { ++other; }
+  bool Gone() const override { return false; }
   int served = 0;
   int other = 0;
 };
