Repeat failed calls to discovery by a clock within 6 s, and hear out those in its queue

No watch that had been answered once ever fell silent: the 'silent' ones were first calls in discovery's queue. From 3 to 8 s no proxy got its list at all.

Cause, two parts. A call that need not wait was left after 2 s; discovery holds calls for up to 3 s there, works on them all the same, and turns others down meanwhile. And after failures the module's pauses grew to 0.8 of the ask time (8 s, and 96 s at 120 s), beyond the 6 s after which a change now counts as told.

Discovery follows it itself, as it did for pushed lists; the module keeps its own pauses for the simulator.

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -103,7 +103,7 @@
         acceptor_(loop_, log_, gateway_, budget_, Accepting(config_)),
         discovery_(loop_, log_, gateway_,
                    {config_.discovery, config_.discovery_text, config_.names, config_.known.version,
-                    config_.settings.ask_within, !config_.settings.list_on_request}),
+                    config_.settings.ask_within, !config_.settings.list_on_request, config_.settings.seed}),
         console_(loop_, log_, *this),
         drain_timer_(loop_) {
     gateway_.Connect(workers_, discovery_);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -21,8 +21,10 @@
   Asker(Discovery& discovery, bool watch)
       : watch(watch), channel(discovery.loop_, *this), timer(discovery.loop_), discovery_(discovery) {}
 
-  void Ask(const std::string& target, Micros within) {
+  void Ask(const std::string& target, Micros wait, Micros within) {
     asking = true;
+    waits = wait > 0;
+    asked_at = discovery_.loop_.Now();
     if (channel.open() && channel.Stale()) channel.Close();
     if (!channel.open()) {
       parser_ = http::Parser(http::Parser::Kind::kResponse);
@@ -55,6 +57,8 @@
 
   const bool watch;
   bool asking = false;
+  bool waits = false;   // the question out is one that may wait at discovery
+  Micros asked_at = 0;  // on the loop's clock
   Channel channel;
   Timer timer;
 
@@ -83,6 +87,7 @@
       gateway_(gateway),
       options_(std::move(options)),
       version_(options_.version),
+      random_(options_.seed),
       again_(loop) {}
 
 Discovery::~Discovery() = default;
@@ -97,16 +102,18 @@
 
 // The first call of a watch doesn't wait, so that the module soon knows that it is subscribed and what it
 // missed. A call already out will bring that news as well.
-void Discovery::Watch() { Ask(watch_, true, 0); }
+void Discovery::Watch() {
+  if (!again_.set()) Ask(watch_, true, 0);
+}
 void Discovery::Fetch() { Ask(fetch_, false, 0); }
 
-// The module still takes itself for subscribed, so the watch goes on by itself; should the new address not
-// answer, the module hears of that and asks again, as after any failure.
+// The watch goes on by itself at the new address, at once and whatever pause the old one had earned.
 void Discovery::Move(const Endpoint& where, std::string host) {
   options_.where = where;
   options_.host = std::move(host);
   whole_ = true;
-  renewed_ = false;
+  failures_ = 0;
+  again_.Clear();
   // Guards against an answer of the old address that is still on its way.
   for (auto* asker : {&watch_, &fetch_}) {
     if (*asker == nullptr) continue;
@@ -125,7 +132,8 @@
     target += "?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(wait / 1000);
   }
   ++gateway_.tally().list_calls;
-  asker->Ask(target, options_.pushed ? wait + kPushedAnswerTime : limits::WatchTimes::AnswerWithin(wait));
+  asker->Ask(target, wait,
+             options_.pushed ? wait + kPushedAnswerTime : limits::WatchTimes::AnswerWithin(wait));
 }
 
 void Discovery::Answered(Asker& asker, const http::Message& answer) {
@@ -136,17 +144,16 @@
   bool old = !asker.watch && !whole_ && list->version < version_;
   if (!old) version_ = list->version;
   if (list->kind == WorkerList::Kind::kFull) whole_ = false;
-  if (asker.watch) renewed_ = false;
+  if (asker.watch) failures_ = 0;
   // The next call of the watch leaves first: it has to come within 200 ms, whatever the list sets off.
   if (asker.watch) Ask(watch_, true, WatchWait());
   if (!old) gateway_.Learn(*list);
 }
 
-// A watch that has fallen silent is opened anew at once: the clock of what it missed is running, and the
-// module's back-off is there to spare a discovery that said no, which this one did not. Silent again, it is.
+// A watch that has fallen silent is opened anew at once: the clock of what it missed is running, and pauses
+// are there to spare a discovery that said no, which this one did not.
 void Discovery::Silent(Asker& asker) {
-  if (!asker.watch || options_.pushed || renewed_) return Failed(asker, "no answer");
-  renewed_ = true;
+  if (!asker.watch || !asker.waits || options_.pushed) return Failed(asker, "no answer");
   asker.asking = false;
   ++gateway_.tally().list_failures;
   log_.Line("discovery: a watch failed: silent, opened anew");
@@ -158,14 +165,19 @@
   asker.timer.Clear();
   ++gateway_.tally().list_failures;
   log_.Line("discovery: a %s failed: %s", asker.watch ? "watch" : "fetch", why);
-  if (options_.pushed) {
-    // The module knows no calls here that could fail: the list goes on being followed below it.
-    if (asker.watch) again_.Set(kPushedRetry, [this] { Watch(); });
-    return;
-  }
+  if (asker.watch) return again_.Set(Pause(asker), [this] { Watch(); });
+  // What can fail of a watch is mended here, by a clock that the module does not see; a fetch is the
+  // module's.
   WorkerList failed;
   failed.kind = WorkerList::Kind::kFailed;
   gateway_.Learn(failed);
 }
 
+Micros Discovery::Pause(const Asker& asker) {
+  if (options_.pushed) return kPushedRetry;
+  Micros took = asker.waits ? 0 : loop_.Now() - asker.asked_at;
+  double draw = static_cast<double>(random_() >> 11) * 0x1.0p-53;
+  return limits::WatchTimes::Pause(options_.ask_within, failures_++, took, draw);
+}
+
 }  // namespace dappletiller
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -1,8 +1,10 @@
-// Follows the list of workers over HTTP: a watch that goes on by itself until it fails, and single fetches.
+// Follows the list of workers over HTTP: a watch that, once begun, goes on by itself whatever fails
+// (limits/watch_times says when it is asked again), and single fetches.
 #ifndef DAPPLETILLER_NET_DISCOVERY_HPP_
 #define DAPPLETILLER_NET_DISCOVERY_HPP_
 
 #include <memory>
+#include <random>
 #include <string>
 
 #include "net/channel.hpp"
@@ -21,6 +23,7 @@
   Micros ask_within = 0;
   // The list is pushed: the address is an agent on this machine, which is asked without the module's word.
   bool pushed = false;
+  std::uint64_t seed = 0;  // of the pauses between calls
 };
 
 class Discovery final : public ListSource {
@@ -30,7 +33,9 @@
 
   // Where lists are pushed, follows them from now on for as long as it lives; else waits for the module.
   void Start();
+  // Begins the watch; nothing to do while it goes on, a pause after a failed call included.
   void Watch() override;
+  // One call for the whole list; its failure is told to the module, which may ask again.
   void Fetch() override;
   // Goes on at another address, beginning with the whole list: a version there may mean something else.
   void Move(const Endpoint& where, std::string host);
@@ -42,17 +47,19 @@
   void Answered(Asker& asker, const http::Message& answer);
   void Silent(Asker& asker);
   void Failed(Asker& asker, const char* why);
+  Micros Pause(const Asker& asker);
 
   Loop& loop_;
   Log& log_;
   Gateway& gateway_;
   DiscoveryOptions options_;
   std::uint64_t version_;
-  bool whole_ = false;    // the version held is not this discovery's: only the whole list will do
-  bool renewed_ = false;  // the watch was silent and has not answered since
+  bool whole_ = false;  // the version held is not this discovery's: only the whole list will do
+  int failures_ = 0;    // of the watch, in a row
+  std::mt19937_64 random_;
   std::unique_ptr<Asker> watch_;
   std::unique_ptr<Asker> fetch_;
-  Timer again_;  // pushed lists: until the next call after a failed one
+  Timer again_;  // until the watch's next call, after one that failed
 };
 
 }  // namespace dappletiller
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -1,6 +1,7 @@
 #include "net/gateway.hpp"
 
 #include <algorithm>
+#include <cstdio>
 #include <set>
 #include <utility>
 
@@ -77,17 +78,23 @@
 void Gateway::TellTally() {
   const Tally t = std::exchange(tally_, {});
   if (t.empty()) return;
+  std::string answered = "never answered";
+  if (listed_at_ != 0) {
+    char text[40];
+    std::snprintf(text, sizeof text, "answered %.1f s ago",
+                  static_cast<double>(loop_.Now() - listed_at_) / 1e6);
+    answered = text;
+  }
   auto ended = [&t](DelegationEnd end) { return t.ended[static_cast<std::size_t>(end)]; };
   log_.Line(
       "passed: %d in, %d served, %d refused, %d failed, %d left, %zu open; sent %d, dialled %d; ended %d ok, "
       "%d error, %d turned away, %d timed out, %d unreachable, %d reset, %d given up, %d not sent; list "
-      "calls "
-      "%d, failed %d, answered %.1f s ago",
+      "calls %d, failed %d, %s",
       t.arrived, t.served, t.refused, t.failed, t.left, open_calls_, t.sent, t.dialled,
       ended(DelegationEnd::kAnswered), ended(DelegationEnd::kError), ended(DelegationEnd::kTurnedAway),
       ended(DelegationEnd::kTimedOut), ended(DelegationEnd::kUnreachable), ended(DelegationEnd::kReset),
       ended(DelegationEnd::kGivenUp), ended(DelegationEnd::kNotSent), t.list_calls, t.list_failures,
-      listed_at_ == 0 ? -1 : static_cast<double>(loop_.Now() - listed_at_) / 1e6);
+      answered.c_str());
   tell_.Set(kTellEvery, [this] { TellTally(); });
 }
 
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -222,6 +222,20 @@
   Discovery discovery;
 };
 
+// The connection on which discovery was asked for `target` (and the test has not seen it), once one has been.
+inline Peer& Asked(Rig& rig, const std::string& target) {
+  Peer* found = nullptr;
+  rig.Until(target.c_str(), [&] {
+    rig.registry.Accept();
+    for (Peer& peer : rig.registry.peers) {
+      if (peer.Has("GET " + target + " HTTP/1.1\r\n")) found = &peer;
+    }
+    return found != nullptr;
+  });
+  found->text.clear();
+  return *found;
+}
+
 inline std::string Check(const std::string& id, const std::string& more = "") {
   return "GET /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
          "\r\nRequest-Class: check\r\nRequest-Timeout: 15000m\r\n" + more + "\r\n";
