Test the program with descriptors filled while discovery is down, and mass starts

Seen to be kept already, now forced: with 64 descriptors (RLIMIT_NOFILE and limits.sockets), 150 idle clients and 20 console callers at a time and a discovery that resets or lets no dial come up, calls of new clients are sent on new dials, the watch is opened again and its news used, and on the way out a client is taken and answered; never more than 64 descriptors. What keeps it: Budget closes idle clients for a dial, and kOwnDescriptors lies outside of it. With kOwnDescriptors at 6 the test fails.

Thirty processes at once, 17,000 workers in 'known', discovery refusing or silent: all ready and serving. With a start that waits for discovery's answer the test fails.

Program, ProgramConfig and PortAfter moved as they were from rules_test into program.hpp, which adds a limit on descriptors.

--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <string>
 
+#include "program.hpp"
 #include "support.hpp"
 
 namespace dappletiller::testing {
@@ -791,95 +792,6 @@
 
 // ---- The program itself ----
 
-class Program {
- public:
-  // `env`: more of the environment, as name and value. `piped`: the configuration is a pipe, so that the
-  // program waits in its start until Hand().
-  explicit Program(const std::string& config,
-                   const std::vector<std::pair<std::string, std::string>>& env = {}, bool piped = false) {
-    std::string path = folder_ + "/config.json";
-    if (piped) REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
-    if (!piped) Write(config);
-    pid_ = ::fork();
-    REQUIRE(pid_ >= 0);
-    if (pid_ == 0) {
-      int err = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT, 0600);
-      ::dup2(err, 2);
-      ::setenv("BALANCER_CONFIG", path.c_str(), 1);
-      for (const auto& [name, value] : env) ::setenv(name.c_str(), value.c_str(), 1);
-      ::execl(DAPPLETILLER_PROGRAM, DAPPLETILLER_PROGRAM, nullptr);
-      ::_exit(127);
-    }
-  }
-  ~Program() {
-    if (pid_ > 0) ::kill(pid_, SIGKILL), ::waitpid(pid_, nullptr, 0);
-    std::remove((folder_ + "/config.json").c_str());
-    std::remove((folder_ + "/log").c_str());
-    ::rmdir(folder_.c_str());
-  }
-  // Its exit code, or -1 if it does not end by itself.
-  int Wait() {
-    int status = 0;
-    for (int i = 0; i < 2'000; ++i) {
-      if (::waitpid(pid_, &status, WNOHANG) == pid_)
-        return pid_ = 0, WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-      ::poll(nullptr, 0, 10);
-    }
-    return -1;
-  }
-  std::string Said() {
-    std::ifstream in(folder_ + "/log");
-    return {std::istreambuf_iterator<char>(in), {}};
-  }
-  // Waits until the program reads its piped configuration; then `before` happens, and it gets it.
-  void Hand(
-      const std::string& config, const std::function<void()>& before = [] {}) {
-    for (int i = 0; i < 2'000; ++i) {
-      Fd pipe(::open((folder_ + "/config.json").c_str(), O_WRONLY | O_NONBLOCK));  // fails without a reader
-      if (!pipe) {
-        ::poll(nullptr, 0, 10);
-        continue;
-      }
-      before();
-      REQUIRE(::write(pipe.get(), config.data(), config.size()) == static_cast<ssize_t>(config.size()));
-      return;
-    }
-    FAIL("the program never read its configuration");
-  }
-  void Write(const std::string& config) { std::ofstream(folder_ + "/config.json") << config; }
-  void Signal(int number) { ::kill(pid_, number); }
-  std::size_t Descriptors() const {  // open now
-    auto all = std::filesystem::directory_iterator("/proc/" + std::to_string(pid_) + "/fd");
-    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
-  }
-
- private:
-  static std::string MakeFolder() {
-    char name[] = "/tmp/dappletiller-test-XXXXXX";
-    REQUIRE(::mkdtemp(name) != nullptr);
-    return name;
-  }
-  std::string folder_ = MakeFolder();
-  pid_t pid_ = 0;
-};
-
-std::string ProgramConfig(std::uint16_t port, std::uint16_t worker, std::uint16_t discovery = 1,
-                          const std::string& mode = "ask") {
-  std::string local = "\"127.0.0.1:";
-  return "{\"name\":\"n0\",\"listen\":" + local + std::to_string(port) + "\",\"discovery\":" + local +
-         std::to_string(discovery) +
-         "\",\"seed\":\"7\",\"limits\":{\"sockets\":256},\"known\":{\"rev\":1,\"all\":true,\"targets\":[{"
-         "\"uid\":\"s\","
-         "\"endpoint\":" +
-         local + std::to_string(worker) + "\",\"az\":\"a\",\"state\":\"up\"}]}," +
-         R"("settings":{"balancers":1,"zones":["a"],"zone":0,"kinds":["m"],"classes":[{"name":"check",
-         "aim":4000000,"giveUp":20000000,"effect":"free"}],"registryMode":")" +
-         mode + R"(","tick":5000,
-         "invariants":{"askEvery":10000000,"cold":22000000,"fall":2000000,"startCapacity":0.13,"tipMultiple":2.5,
-         "graceToAnswer":20000},"limits":{"maxAttempts":5,"mayCancel":true,"dialTimeout":250000,
-         "connIdle":15000000}}})";
-}
-
 TEST_CASE("the program serves, and after SIGTERM finishes what it holds and ends with 0") {
   Host worker;
   Program program(ProgramConfig(0, worker.port));
@@ -1013,13 +925,6 @@
 
 // ---- Upgrades and the console, with the program itself ----
 
-// The number that follows `what` in the program's log, once it is there.
-std::uint16_t PortAfter(Rig& outside, Program& program, const std::string& what) {
-  outside.Until(what.c_str(), [&] { return program.Said().find(what) != std::string::npos; });
-  std::string said = program.Said();
-  return static_cast<std::uint16_t>(std::atoi(said.c_str() + said.find(what) + what.size()));
-}
-
 // One console call on its own connection; the status line's code.
 int Ask(Rig& outside, std::uint16_t port, const std::string& line) {
   Peer caller = Peer::Dial(port);
