Hold the cold ramp for the whole fleet, and learn a usual request where none is hinted

Seen: 20 and 30 instances in simulated time (tests/cold_fleet_test.cpp), the sum of what they send a cold server against N + 2 sqrt(N) + 2 requests of mean work in any fall time. Change: the ramp is a pure module (src/limits/cold_ramp): turns come as the area under the warming line pays, a lump is a usual request at least. Without hints work is counted in usual requests, the pace learns how long one takes, and a cold server gets nothing before ten have come and half of the part from then on.

Rig: cold20, cold20-view, cold30, cold30-view hold the sum on real processes, read from the workers' ledger; in cold-planted each process is told of one gateway, and the verdict has to find it. A stream was known by its local port alone, which the kernel gives twice for different places: discovery then turned a process down for good.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -14,6 +14,7 @@
 #include <tuple>
 #include <utility>
 
+#include "limits/cold_ramp.hpp"
 #include "limits/tenant_share.hpp"
 #include "sandstand/balancer.hpp"
 
@@ -34,6 +35,10 @@
 constexpr double kOutside = 1e15;      // beyond any turn
 constexpr double kDrain = 0.6;  // a queue we saw shrinks by this much a unit of time while we look away
 constexpr double kPaceQuantile = 0.2;    // of latency over hint: service without much waiting
+constexpr double kUnhintedPace = 0.5;    // of latency, where no request tells its work
+constexpr double kUnhintedMin = 10;      // so many without any hint before they are counted in usual ones
+constexpr double kUnhintedTimes = 2;     // a cold server's allowance: its work may be far above the usual
+constexpr double kUnhintedWork = 0.25;   // of the shortest aim: what such a request is first taken for
 constexpr double kPaceStep = 0.03;       // learning step of that quantile, in log terms
 constexpr double kSmooth = 0.02;         // weight of a new sample in running means
 constexpr double kWaitStep = 0.05;       // learning step of the usual wait, in mean service times
@@ -55,8 +60,6 @@
 constexpr double kByChance = 0.1;   // a run of failures that is likelier than this by chance tells nothing
 constexpr int kZoneFailures = 4;    // failures in a row, across a zone, that speak for its link
 constexpr double kUntold = 0.25;    // part of ask_within in which the list may not yet tell of a restart
-constexpr double kColdFill = 0.3;   // of the work that would push a cold server over, all gateways together
-constexpr double kColdLump = 0.15;  // of that budget in one request, at most
 constexpr double kAskSpread = 0.1;  // of ask_within: before the first call; after a failed one, doubling
 constexpr double kSecond = 1e6;
 constexpr double kCrossWeight = 2;     // times the price of crossing, as a part of the aim, to be saved
@@ -135,7 +138,10 @@
 class Balancer::Impl {
  public:
   explicit Impl(const Settings& settings)
-      : set_(settings), random_(settings.seed), share_(SharesOf(settings), settings.gateways) {
+      : set_(settings),
+        random_(settings.seed),
+        share_(SharesOf(settings), settings.gateways),
+        cold_({settings.cold_share, settings.cold_time, settings.fall_multiple, settings.fall_time}) {
     if (set_.classes.empty()) throw std::invalid_argument("no request class");
     if (set_.zones < 1 || set_.zone < 0 || set_.zone >= set_.zones)
       throw std::invalid_argument("zone out of range");
@@ -275,8 +281,8 @@
 
   // Hints by half octaves; the cutoff is the hint above which kLongWork of the work lies.
   void NoteHint(double work) {
-    mean_work_ += (work - mean_work_) * std::max(kSmooth, 1.0 / (1.0 + hints_));
-    hints_++;
+    if (hints_ == 0) pace_.clear();  // of unhinted ones, in another unit
+    mean_work_ += (work - mean_work_) * std::max(kSmooth, 1.0 / (1.0 + hints_++));
     int bin = std::clamp(static_cast<int>(2 * std::log2(std::max(work, 1.0))), 0, kBins - 1);
     bins_[bin] += work;
     if (now_ - cutoff_at_ < kSecond || hints_ < kCutoffSamples) return;
@@ -292,6 +298,8 @@
     cutoff_ = std::max(kLongLeast * mean_work_, std::exp2((i + 1 - std::clamp(part, 0.0, 1.0)) / 2.0));
   }
 
+  bool UsualKnown() const { return hints_ > 0 ? hints_ >= kCutoffSamples : unhinted_ >= kUnhintedMin; }
+
   // ---- Health and speed ----
 
   // Sizes in the list may be rough or absent, so each kind of machine has its pace learned. Until then a hint
@@ -349,11 +357,12 @@
         usual_failures_ -= kSmooth * usual_failures_;
         server.heard = std::max(server.heard, attempt.sent);
         tail_ = std::max(1.0, tail_ * Step(latency > tail_ * attempt.expected));
-        if (request.hinted && latency > 0 && request.work >= mean_work_) {
+        if ((request.hinted || (hints_ == 0 && UsualKnown())) && latency > 0 && request.work >= mean_work_) {
           double ratio = latency * server.entry.size / request.work;
           auto& [pace, samples] = pace_.try_emplace(server.entry.kind, Pace(server), 0).first->second;
           double step = std::max(kPaceStep, 1.0 / ++samples);
-          pace *= std::exp(ratio < pace ? -step * (1 - kPaceQuantile) : step * kPaceQuantile);
+          double quantile = request.hinted ? kPaceQuantile : kUnhintedPace;
+          pace *= std::exp(ratio < pace ? -step * (1 - quantile) : step * quantile);
         }
         StepMedian(zone.met_wait, waited, server, 1);
         StepMedian(surprise_, waited - attempt.expected_wait, server, 1);
@@ -483,40 +492,27 @@
                                                    : server.entry.started_at;
   }
 
-  bool Cold(const Server& server) const {
-    return Started(server) > 0 && now_ < Started(server) + set_.cold_time;
-  }
+  Micros Age(const Server& server) const { return now_ - Started(server); }
+  bool Cold(const Server& server) const { return Started(server) > 0 && cold_.Cold(Age(server)); }
 
-  // What it does at the worst warming the settings allow, in work a microsecond: its size tells how many
-  // requests run there side by side, each at the learned pace.
-  double ColdCapacity(const Server& server) const {
-    double age = std::max<Micros>(0, now_ - Started(server));
-    double part = set_.cold_time > 0 ? std::min(1.0, age / set_.cold_time) : 1;
-    double size = server.entry.size;
-    return (set_.cold_share + (1 - set_.cold_share) * part) * size * size / Pace(server);
-  }
+  // Work a microsecond once warm: it runs `size` requests side by side, each at the learned pace.
+  double Capacity(const Server& server) const { return server.entry.size * server.entry.size / Pace(server); }
 
-  // This gateway's part of what all together may send: with every gateway at its part the sum stays safe.
   // Gateways of every zone take part, or one put back by hand would stay unused where it has no zone-mate.
-  double ColdRate(const Server& server) const {
-    return std::max(1e-9, kColdFill * set_.fall_multiple * ColdCapacity(server) * part_);
+  void PayCold(Server& server, double work) {
+    if (hints_ == 0) work *= kUnhintedTimes;
+    Micros age = std::max(Age(server), server.cold_next - Started(server));
+    server.cold_next = Started(server) + cold_.NextTurn(Capacity(server), part_, work, age);
   }
 
   bool ColdAllows(Server& server, const Request& request) {
     if (!Cold(server)) return true;
-    if (now_ >= part_until_ || part_ <= 0) return false;
-    if (server.cold_next < Started(server)) {
-      // At random, or all gateways would open with it. One that has just started itself knows no usual
-      // request yet and goes by the largest that a cold server may get.
-      double usual = hints_ < kCutoffSamples ? ColdLump(server) : std::min(mean_work_, ColdLump(server));
-      server.cold_next = now_ + static_cast<Micros>(Uniform() * usual / ColdRate(server));
-    }
-    if (now_ < server.cold_next) return false;
-    return request.work <= ColdLump(server);
-  }
-
-  double ColdLump(const Server& server) const {
-    return kColdLump * set_.fall_multiple * ColdCapacity(server) * set_.fall_time;
+    bool unknown = hints_ == 0 && (!UsualKnown() || request.work < mean_work_);
+    if (unknown || now_ >= part_until_ || part_ <= 0) return false;
+    double lump = cold_.Lump(Capacity(server), mean_work_, Age(server));
+    // Who has just started knows no usual request yet and goes by the largest that a cold server may get.
+    if (server.cold_next < Started(server)) PayCold(server, Uniform() * (UsualKnown() ? mean_work_ : lump));
+    return now_ >= server.cold_next && request.work <= lump;
   }
 
   // ---- Rotation ----
@@ -700,8 +696,7 @@
     server.out.insert({now_, request.id, number});
     server.work_out += request.work;
     if (request.is_long) server.reserved = true;
-    if (Cold(server))
-      server.cold_next = std::max(now_, server.cold_next) + Micros(request.work / ColdRate(server));
+    if (Cold(server)) PayCold(server, request.work);
     Place(server);
     alarms_.insert({attempt.doubt_at, Alarm::kStuck, request.id});
     Act(Send{request.id, server.entry.id, request.deadline - now_});
@@ -859,6 +854,9 @@
     request.deadline = e.deadline;
     request.hinted = e.has_hint && e.work_hint > 0;
     if (request.hinted) NoteHint(e.work_hint);
+    // Where no request tells its work it is counted in usual ones, and the pace learns how long those take.
+    if (!request.hinted && hints_ == 0 && ++unhinted_ == kUnhintedMin)
+      mean_work_ = kUnhintedWork * shortest_aim_;
     request.work = request.hinted ? e.work_hint : mean_work_;
     request.is_long = request.hinted && request.work > cutoff_;
     request.aged = request.work;
@@ -992,6 +990,7 @@
 
   std::array<double, kBins> bins_{};
   double hints_ = 0;
+  double unhinted_ = 0;  // requests, before the first hint
   double mean_work_ = 1;
   double cutoff_ = std::numeric_limits<double>::infinity();
   Micros cutoff_at_ = 0;
@@ -1007,6 +1006,7 @@
   double extra_ = kExtraBurst;
   std::vector<Micros> longest_try_;
   limits::TenantShare share_;
+  limits::ColdRamp cold_;
   double part_ = 0;  // of what all gateways share
   Micros part_until_ = std::numeric_limits<Micros>::max();
 };
--- a/src/rig/ledger.hpp
+++ b/src/rig/ledger.hpp
@@ -22,7 +22,9 @@
   Micros work = 0;
   bool once = false;  // of the class that must never run twice
   bool cold = false;
-  bool ran = false;  // not turned away unseen
+  Micros started = 0;  // cold: when the worker did
+  double bears = 0;    // cold: the work within `Ledger::fall` that its capacity at that moment allows
+  bool ran = false;    // not turned away unseen
 };
 
 enum class Fared { kOpen, kServed, kRefused, kFailed, kLost, kUnreachable };
@@ -60,6 +62,7 @@
 };
 
 struct Ledger {
+  Micros fall = 0;  // the span over which what a cold worker is given adds up
   std::vector<Taken> taken;
   std::unordered_map<std::string, int> attempts;  // by request id
   std::vector<Called> called;
--- a/src/rig/links.cpp
+++ b/src/rig/links.cpp
@@ -119,7 +119,7 @@
         pair_(std::move(pair)),
         there_(*this, pair_),
         back_(*this, {pair_.second, pair_.first}) {}
-  ~Stream() { links_.senders_.Forget(port_, id_); }
+  ~Stream() { links_.senders_.Forget(way_, id_); }
 
   bool Begin(Fd fd) { return there_.channel.Adopt(std::move(fd)); }
 
@@ -197,8 +197,8 @@
     const Endpoint& real = links_.real_[pair_.second];
     dialled_ = true;
     if (real.port == 0 || !back_.channel.Connect(real)) return End();
-    port_ = back_.channel.local_port();
-    links_.senders_.Say(port_, id_, pair_.first);
+    way_ = {real.port, back_.channel.local_port()};
+    links_.senders_.Say(way_, id_, pair_.first);
   }
 
   void End() {
@@ -217,7 +217,7 @@
   Pair pair_;
   Side there_, back_;
   bool dialled_ = false;
-  std::uint16_t port_ = 0;
+  Callers::Way way_;
 };
 
 class Links::Streams final : private EventSink {
--- a/src/rig/script.cpp
+++ b/src/rig/script.cpp
@@ -31,7 +31,7 @@
     Word<Act>{"liar", Act::kLiar},           Word<Act>{"silent", Act::kSilent},
     Word<Act>{"down", Act::kDown},           Word<Act>{"stale", Act::kStale},
     Word<Act>{"drain", Act::kDrain},         Word<Act>{"new-worker", Act::kNewWorker},
-    Word<Act>{"clock", Act::kClock}};
+    Word<Act>{"clock", Act::kClock},         Word<Act>{"burst", Act::kBurst}};
 
 constexpr std::array kClaims = {
     Word<Claim>{"settled", Claim::kSettled},    Word<Claim>{"not-dead", Claim::kNotDead},
@@ -39,7 +39,8 @@
     Word<Claim>{"served", Claim::kServed},      Word<Claim>{"no-tips", Claim::kNoTips},
     Word<Claim>{"no-sends", Claim::kNoSends},   Word<Claim>{"whole", Claim::kWhole},
     Word<Claim>{"part-back", Claim::kPartBack}, Word<Claim>{"memory", Claim::kMemory},
-    Word<Claim>{"told", Claim::kTold},          Word<Claim>{"alone", Claim::kAlone}};
+    Word<Claim>{"told", Claim::kTold},          Word<Claim>{"alone", Claim::kAlone},
+    Word<Claim>{"cold-sum", Claim::kColdSum}};
 
 using operators::Section;
 
@@ -86,6 +87,7 @@
   if (chance && !(fault.value > 0 && fault.value <= 1)) {
     section.Fail("value", "a chance above 0 and up to 1 is needed");
   }
+  if (fault.act == Act::kBurst && !(fault.value > 0)) section.Fail("value", "a number above 0 is needed");
   if (fault.act == Act::kPartition && fault.groups.size() < 2) {
     section.Fail("groups", "at least two groups are needed: [[\"p1\"], [\"p2\"]]");
   }
@@ -147,6 +149,9 @@
   script.size = f.Number("size", 4, 1, 1000);
   script.cold_ms = f.Number("cold_ms", 10'000, 1, 1e6);
   script.cold_share = f.Number("cold_share", 0.1, 0.001, 1);
+  script.cold_chance = f.Flag("cold_chance", false);
+  script.hints = f.Flag("hints", true);
+  script.uneven = f.Number("uneven", 1, 1, 5);
   if (const toml::table* more = f.Table("operator")) {
     std::ostringstream lines;
     lines << *more;
--- a/src/rig/verdict.cpp
+++ b/src/rig/verdict.cpp
@@ -1,6 +1,7 @@
 #include "rig/verdict.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <map>
 #include <set>
@@ -79,6 +80,8 @@
         return Served(expect);
       case Claim::kNoTips:
         return NoTips();
+      case Claim::kColdSum:
+        return ColdSum(expect);
       case Claim::kNoSends:
         return NoSends(expect);
       case Claim::kWhole:
@@ -287,6 +290,49 @@
             static_cast<double>(tips)};
   }
 
+  // Beyond its budget of N requests of mean work in the fall time 2 sqrt(N) + 2 more are put down to chance.
+  // N is what the worker bore as the span began, the least in it; what it turned away counts as well.
+  Verdict ColdSum(const Expect& e) {
+    double mean = script_.work_ms * 1000, most = 0;
+    std::string where = "nowhere";
+    std::map<std::string, std::vector<const Taken*>> by;
+    for (const Taken& taken : ledger_.taken) {
+      if (taken.cold) by[taken.worker].push_back(&taken);
+    }
+    std::size_t least = ledger_.taken.size(), all = 0;
+    for (const auto& [worker, taken] : by) {
+      least = std::min(least, taken.size());
+      all += taken.size();
+      double sum = 0;
+      std::size_t first = 0;
+      for (const Taken* last : taken) {
+        sum += static_cast<double>(last->work);
+        for (; taken[first]->at <= last->at - ledger_.fall || taken[first]->started != last->started; ++first)
+          sum -= static_cast<double>(taken[first]->work);
+        double n = taken[first]->bears / mean;
+        double part = sum / mean / (n + 2 * std::sqrt(n) + 2);
+        if (part <= most) continue;
+        most = part;
+        std::map<std::string, int> senders;
+        for (std::size_t k = first; taken[k] != last; ++k) ++senders[taken[k]->sender];
+        ++senders[last->sender];
+        auto top = std::max_element(senders.begin(), senders.end(),
+                                    [](const auto& a, const auto& b) { return a.second < b.second; });
+        char text[160];
+        std::snprintf(text, sizeof text, "%s at %s: %.1f where N is %.1f, from %zu processes, %d by %s",
+                      worker.c_str(), Seconds(last->at - began_).c_str(), sum / mean, n, senders.size(),
+                      top->second, top->first.c_str());
+        where = text;
+      }
+    }
+    char text[256];
+    std::snprintf(text, sizeof text,
+                  "%zu calls to %zu cold workers, %zu at least to each; most %.2f of it, %s", all, by.size(),
+                  by.empty() ? 0 : least, most, where.c_str());
+    return {!by.empty() && static_cast<double>(least) >= e.share && most <= 1,
+            "cold sum: all processes together gave no cold worker more than N + 2 sqrt(N) + 2", text, most};
+  }
+
   Verdict NoSends(const Expect& e) {
     std::vector<std::string> by = Who(e.by);
     long sends = 0;
