Give the module no answers of discovery that hold no news

A watch that waits 1 s is answered each second, and for each answer the module placed every worker anew, with or without a change. Answers with no entries now only count as heard; the first one still tells the module that it is subscribed. No test of its own: what the module decides is meant to stay the same.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -204,9 +204,12 @@
 }
 
 void Gateway::Learn(const WorkerList& list) {
-  if (list.kind == WorkerList::Kind::kFull || list.kind == WorkerList::Kind::kChanges)
-    listed_at_ = loop_.Now();
-  Apply(list);
+  bool told = list.kind == WorkerList::Kind::kFull || list.kind == WorkerList::Kind::kChanges;
+  // Guards against the module placing every worker anew, each second, for a watch that had nothing to tell.
+  // The first answer always counts: from it the module knows that it is subscribed.
+  bool news = listed_at_ == 0 || list.kind != WorkerList::Kind::kChanges || !list.entries.empty();
+  if (told) listed_at_ = loop_.Now();
+  if (news) Apply(list);
 }
 
 bool Gateway::Detach(const std::string& uid) {
