--- /dev/null
+++ b/tests/feed/change_cost.cpp
@@ -0,0 +1,127 @@
+// What one change costs a proxy: of the settings as a whole file, and of the list. Google Benchmark; figures
+// for docs/data, no verdicts. Run with --benchmark_format=json.
+#include <benchmark/benchmark.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "net/config.hpp"
+#include "sandstand/balancer.hpp"
+
+namespace dappletiller {
+namespace {
+
+// Tenants as a site's file names them: about 75 bytes each.
+std::string ConfigText(int tenants) {
+  std::string text =
+      R"({"name":"p","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","limits":{"sockets":256},)"
+      R"("known":{"rev":1,"all":true,"targets":[]},"settings":{"balancers":1900,"zones":["a","b","c"],)"
+      R"("kinds":["k"],"zone":0,"registryMode":"ask","tick":5000,"classes":[{"name":"check","aim":200000,)"
+      R"("giveUp":800000,"effect":"free"}],"invariants":{"askEvery":10000000,"startCapacity":0.3,)"
+      R"("cold":10000000,"tipMultiple":2,"fall":1000000,"graceToAnswer":500000},"limits":{"maxAttempts":3,)"
+      R"("mayCancel":true,"dialTimeout":100000,"connIdle":2000000},"tenants":[)";
+  for (int i = 0; i < tenants; ++i) {
+    char line[120];
+    std::snprintf(line, sizeof line, R"(%s{"name":"tenant-branch-%06d","portion":0.0000055,"quotaRps":%d.5})",
+                  i == 0 ? "" : ",\n", i, 1 + i % 7);
+    text += line;
+  }
+  return text + "]}}";
+}
+
+double ResidentMegabytes() {
+  long pages = 0, resident = 0;
+  if (std::FILE* file = std::fopen("/proc/self/statm", "r")) {
+    if (std::fscanf(file, "%ld %ld", &pages, &resident) != 2) resident = 0;
+    std::fclose(file);
+  }
+  return static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+// Reading the whole file, flattening it, and a module made with it: what a reload does.
+void WholeSettings(benchmark::State& state) {
+  std::string text = ConfigText(static_cast<int>(state.range(0)));
+  double before = ResidentMegabytes(), after = 0;
+  try {
+    for (auto round : state) {
+      (void)round;
+      Config config = ParseConfig(text);
+      sandstand::Balancer module(config.settings);
+      after = std::max(after, ResidentMegabytes());
+      benchmark::DoNotOptimize(module.ignored_events());
+    }
+  } catch (const ConfigError& e) {
+    state.SkipWithError(e.what());
+  }
+  state.counters["bytes"] = static_cast<double>(text.size());
+  state.counters["rss_mb"] = after - before;
+}
+BENCHMARK(WholeSettings)
+    ->Arg(100)
+    ->Arg(1'000)
+    ->Arg(10'000)
+    ->Arg(65'536)
+    ->Arg(180'000)
+    ->Unit(benchmark::kMillisecond);
+
+// One changed entry of the list, in the module.
+void ListChange(benchmark::State& state) {
+  sandstand::Settings settings;
+  settings.gateways = 1'900;
+  settings.zones = 15;
+  sandstand::ClassSettings safe;
+  safe.aim = 200'000;
+  safe.deadline = 800'000;
+  safe.effect = sandstand::Effect::kSafe;
+  settings.classes = {safe};
+  sandstand::Balancer module(settings);
+  sandstand::ListUpdate list;
+  for (int i = 0; i < state.range(0); ++i) {
+    sandstand::ServerEntry entry;
+    entry.id = static_cast<sandstand::ServerId>(i);
+    entry.zone = i % 15;
+    list.entries.push_back(entry);
+  }
+  std::vector<sandstand::Action> actions;
+  sandstand::Micros now = 1'000'000;
+  module.Handle(now, list, &actions);
+  sandstand::ListUpdate change;
+  change.kind = sandstand::ListUpdate::Kind::kChanges;
+  for (auto round : state) {
+    (void)round;
+    change.entries = {list.entries[static_cast<std::size_t>(now) % list.entries.size()]};
+    change.entries[0].started_at = now += 1'000;
+    actions.clear();
+    module.Handle(now, change, &actions);
+  }
+}
+BENCHMARK(ListChange)->Arg(120)->Arg(1'200)->Arg(17'000)->Unit(benchmark::kMicrosecond);
+
+// The whole list as discovery gives it: reading it, and its size.
+void WholeList(benchmark::State& state) {
+  std::string text = R"({"rev":1,"all":true,"targets":[)";
+  for (int i = 0; i < state.range(0); ++i) {
+    char line[240];
+    std::snprintf(
+        line, sizeof line,
+        R"(%s{"uid":"plan-%06d-7f3a9c","state":"up","endpoint":"10.%d.%d.%d:8080","az":"a","model":"k",)"
+        R"("pod_group":%d,"capacity_hint":1.5,"boot_ms":1764600000000})",
+        i == 0 ? "" : ",", i, i / 65'536, i / 256 % 256, i % 256, i / 40);
+    text += line;
+  }
+  text += "]}";
+  for (auto round : state) {
+    (void)round;
+    auto list = ParseList(text, {{"a"}, {"k"}});
+    benchmark::DoNotOptimize(list);
+  }
+  state.counters["bytes"] = static_cast<double>(text.size());
+}
+BENCHMARK(WholeList)->Arg(120)->Arg(1'200)->Arg(17'000)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace dappletiller
+
+BENCHMARK_MAIN();
