Settings by versioned deltas: the feed's pure core, its drivers and control machines

Now: src/feed (store with versions, delta by scope, walk of the whole in pages, follower, admission, control machine, origin's file), drivers over the HTTP/1.1 codec, dappletiller control, [settings_feed] in the operators' file; off without it.

--- a/include/sandstand/balancer.hpp
+++ b/include/sandstand/balancer.hpp
@@ -149,8 +149,17 @@
   Micros until = 0;  // on the clock of the events
 };
 
+// A tenant's share from now on, by its place; not named: the place is nobody's any more. Places follow on
+// those of the settings and may be used again; each costs memory, so they are to be kept dense. Negative ones
+// are ignored.
+struct TenantChanged {
+  int tenant = 0;
+  bool named = true;
+  TenantSettings share;
+};
+
 using Event = std::variant<ListUpdate, RequestArrived, ClientLeft, AttemptEnded, StreamStarted, TimerFired,
-                           PartGranted>;
+                           PartGranted, TenantChanged>;
 
 // ---- Actions
 // ------------------------------------------------------------------------------------------------
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -135,7 +135,7 @@
 class Balancer::Impl {
  public:
   explicit Impl(const Settings& settings)
-      : set_(settings), random_(settings.seed), share_(SharesOf(settings), settings.gateways) {
+      : set_(settings), random_(settings.seed), share_({}, settings.gateways) {
     if (set_.classes.empty()) throw std::invalid_argument("no request class");
     if (set_.zones < 1 || set_.zone < 0 || set_.zone >= set_.zones)
       throw std::invalid_argument("zone out of range");
@@ -147,6 +147,7 @@
       shortest_aim_ = std::min<double>(shortest_aim_, c.aim);
       most_worth_ = std::max(most_worth_, c.worth);
     }
+    for (int i = 0; const TenantSettings& t : set_.tenants) On(TenantChanged{i++, true, t});
     part_ = 1.0 / set_.gateways;
     zones_.resize(set_.zones);
     longest_try_.resize(set_.classes.size(), 0);
@@ -164,12 +165,6 @@
   std::uint64_t ignored() const { return ignored_; }
 
  private:
-  static std::vector<limits::TenantShare::Share> SharesOf(const Settings& settings) {
-    std::vector<limits::TenantShare::Share> shares;
-    for (const TenantSettings& t : settings.tenants) shares.push_back({t.portion, t.quota_per_s});
-    return shares;
-  }
-
   double Uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
   void Say(std::string text) { Act(Log{std::move(text)}); }
   void Act(Action action) { actions_->push_back(std::move(action)); }
@@ -844,6 +839,8 @@
     ReleaseBuffered();
   }
 
+  void On(const TenantChanged& e) { share_.Set(e.tenant, e.named, {e.share.portion, e.share.quota_per_s}); }
+
   // ---- Admission ----
 
   void On(const RequestArrived& e) {
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 
+#include "cli/control.hpp"
 #include "cli/proxy.hpp"
 #include "membership/codec.hpp"
 #include "net/http.hpp"
@@ -125,11 +126,37 @@
   return 0;
 }
 
+// What of the settings feed is in force in a running proxy; ends with 1 where it has none, or is cut off.
+int SettingsStatus(const std::string& where, bool json) {
+  Answer answer = Call(where, "GET", "/_settings");
+  if (int failed = Told(where, answer)) return failed;
+  Json::Value root;
+  if (!Parse(answer.body, &root)) {
+    std::fprintf(stderr, "dappletiller: %s answered something that is no state of the settings\n",
+                 where.c_str());
+    return 1;
+  }
+  bool current = root["current"].asBool();
+  if (json) {
+    std::fputs(answer.body.c_str(), stdout);
+    return current ? 0 : 1;
+  }
+  std::printf("serial %s in force, %s entries; %s %s", root["serial"].asString().c_str(),
+              root["entries"].asString().c_str(),
+              current ? "follows" : "NO CONTROL MACHINE ANSWERS, last asked", root["machine"].asCString());
+  if (root["answered_ago_ms"].asInt64() >= 0)
+    std::printf(", whole as of %.1f s ago", root["answered_ago_ms"].asDouble() / 1000);
+  std::printf("\n");
+  return current ? 0 : 1;
+}
+
 int CheckFile(const std::string& path) {
   try {
     operators::OperatorFile file = operators::LoadOperatorFile(path);
-    std::printf("%s: fine; %s\n", path.c_str(),
-                file.fleet ? ("member of fleet " + file.fleet->name).c_str() : "no [fleet]: no view is kept");
+    std::printf("%s: fine; %s%s%s\n", path.c_str(),
+                file.fleet ? ("member of fleet " + file.fleet->name).c_str() : "no [fleet]: no view is kept",
+                file.settings_feed ? "; follows the settings feed" : "",
+                file.control ? ("; control machine " + file.control->name).c_str() : "");
     return 0;
   } catch (const operators::OperatorError& e) {
     std::fprintf(stderr, "%s\n", e.what());
@@ -151,6 +178,10 @@
   CLI::App* serve = app.add_subcommand("serve", "serve, with an operator file");
   serve->add_option("--operator", file, "the operator file (TOML)")->required();
 
+  CLI::App* control =
+      app.add_subcommand("control", "serve the settings feed, as one of its control machines");
+  control->add_option("--operator", file, "the operator file (TOML) with [control]")->required();
+
   CLI::App* check = app.add_subcommand("check", "look an operator file over; 0: fine, 2: not");
   check->add_option("file", file, "the operator file (TOML)")->required();
 
@@ -173,12 +204,20 @@
   reap->add_option("name", name, "the member")->required();
   CLI::App* key = fleet->add_subcommand("key", "print a new key for key_file");
 
+  CLI::App* settings =
+      app.add_subcommand("settings", "what of the settings feed is in force in a running process");
+  settings->add_option("--console", console, "the process's console (or $BALANCER_CONSOLE)")
+      ->capture_default_str();
+  settings->add_flag("--json", json, "as the console gives it");
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
     return app.exit(e) == 0 ? 0 : 2;
   }
   if (*serve) return Serve(file);
+  if (*control) return Control(file);
+  if (*settings) return SettingsStatus(console, json);
   if (*check) return CheckFile(file);
   if (*key) {
     std::printf("%s\n", membership::Codec::NewKey().c_str());
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -16,6 +16,8 @@
 #include <sstream>
 #include <string>
 
+#include "feed/in_force.hpp"
+#include "feed/values.hpp"
 #include "net/acceptor.hpp"
 #include "net/budget.hpp"
 #include "net/config.hpp"
@@ -25,6 +27,7 @@
 #include "net/log.hpp"
 #include "net/loop.hpp"
 #include "net/peers.hpp"
+#include "net/settings_feed.hpp"
 #include "net/worker.hpp"
 #include "state/held_file.hpp"
 
@@ -91,7 +94,7 @@
   return set;
 }
 
-class Proxy final : private EventSink, private ConsoleHandler, private PartSink {
+class Proxy final : private EventSink, private ConsoleHandler, private PartSink, private SettingsSink {
  public:
   Proxy(Log& log, Config config, const std::string& operator_path)
       : log_(log),
@@ -110,6 +113,17 @@
     if (operator_path_.empty()) return;
     operators::OperatorFile file = operators::LoadOperatorFile(operator_path_);
     log_.Shape(file.log_json, Log::ParseLevel(file.log_level));
+    if (file.settings_feed) {
+      feed::FollowerOptions following;
+      following.self = config_.name;
+      following.near = file.settings_feed->near;
+      following.others = file.settings_feed->others;
+      following.seed = config_.settings.seed ^ static_cast<std::uint64_t>(loop_.Now());
+      following.scope = ScopeOf(*file.settings_feed);
+      following.whole_rate = file.settings_feed->whole_rate;
+      follower_.emplace(std::move(following));
+      feed_.emplace(loop_, log_, *follower_, config_.name, static_cast<SettingsSink&>(*this));
+    }
     if (!file.fleet) return;
     auto zone = static_cast<std::size_t>(config_.settings.zone);
     peers_.emplace(loop_, log_, std::move(*file.fleet), config_.name,
@@ -136,6 +150,7 @@
       log_.Always("fleet on port %u as %s at %s", peers_->port(), peers_->view().self().name.c_str(),
                   peers_->view().self().address.c_str());
     }
+    if (feed_) feed_->Start();
     log_.Always("started as %s on port %u with %zu workers known", config_.name.c_str(), acceptor_.port(),
                 config_.known.entries.size());
     loop_.Run();
@@ -182,6 +197,9 @@
       case Verb::kFleetLeave:
       case Verb::kFleetReap:
         return DoFleet(command);
+      case Verb::kSettings:
+        if (!feed_) return {404, "this process takes no settings from a feed"};
+        return {200, feed_->Json(), "application/json"};
       case Verb::kNone:
         break;
     }
@@ -201,6 +219,47 @@
     return {200, peers_->Json(command.after), "application/json"};
   }
 
+  static feed::Scope ScopeOf(const operators::SettingsFeedOptions& options) {
+    feed::Scope scope;
+    scope.services.insert(options.services.begin(), options.services.end());
+    return scope;
+  }
+
+  // Each name that a change touches, and nothing else.
+  void SettingsChanged(const std::vector<feed::Change>& changes) override {
+    for (const feed::Effect& effect : feed::InForce(follower_->held(), follower_->scope(), changes)) {
+      if (effect.kind == feed::kTenant) SetTenant(effect);
+      if (effect.kind == feed::kClass) SetClass(effect);
+    }
+  }
+
+  void SetTenant(const feed::Effect& effect) {
+    std::string why;
+    std::optional<feed::TenantValue> tenant;
+    if (effect.value) tenant = feed::ReadTenant(*effect.value, &why);
+    if (effect.value && !tenant)
+      return log_.Line("settings feed: tenant %s: %s; it keeps what it had", effect.name.c_str(),
+                       why.c_str());
+    int place = tenant ? acceptor_.NameTenant(effect.name) : acceptor_.ForgetTenant(effect.name);
+    if (place < 0) return;
+    sandstand::TenantSettings share;
+    if (tenant) share = {tenant->portion, tenant->quota_per_s};
+    gateway_.SetTenant(place, tenant.has_value(), share);
+  }
+
+  // A class that is no longer named stays known, as with a reload.
+  void SetClass(const feed::Effect& effect) {
+    std::string why;
+    if (!effect.value) return;
+    auto value = feed::ReadClass(*effect.value, &why);
+    if (!value)
+      return log_.Line("settings feed: class %s: %s; it keeps what it had", effect.name.c_str(), why.c_str());
+    auto as = value->effect == feed::ClassEffect::kFree      ? sandstand::Effect::kSafe
+              : value->effect == feed::ClassEffect::kGuarded ? sandstand::Effect::kKeyed
+                                                             : sandstand::Effect::kUnsafe;
+    acceptor_.Retune({effect.name}, {value->give_up}, {as});
+  }
+
   void Grant(double part, Micros until) override { gateway_.Grant(part, until); }
 
   // Held workers outlive the process, for a successor in an upgrade: in the shared temporary folder.
@@ -284,6 +343,7 @@
     if (fresh.settings_text != config_.settings_text) {
       AcceptorOptions classes = Accepting(fresh);
       acceptor_.Retune(classes.classes, classes.patience, classes.effects);
+      RetakeClasses();
     }
     log_.Line("reload: done, discovery %s %s%s", moved ? "moves to" : "stays at",
               fresh.discovery_text.c_str(),
@@ -292,6 +352,9 @@
       log_.Shape(file.log_json, Log::ParseLevel(file.log_level));
       bool whole = peers_.has_value() == file.fleet.has_value();
       if (peers_ && file.fleet) whole = peers_->Reload(std::move(*file.fleet));
+      if (follower_ && file.settings_feed) ReloadFeed(*file.settings_feed);
+      if (follower_.has_value() != file.settings_feed.has_value())
+        log_.Line("reload: [settings_feed] needs a restart to come or go");
       log_.Line("reload: %s read%s", operator_path_.c_str(),
                 whole ? "" : "; the fleet's name, addresses and parts need a restart to change");
     }
@@ -299,6 +362,23 @@
     config_.discovery = fresh.discovery;
   }
 
+  // What the feed says of a class goes before what the file says. There are few classes.
+  void RetakeClasses() {
+    if (!follower_) return;
+    std::vector<feed::Change> classes;
+    follower_->held().ForEach([&](const std::string& key, const std::string& value) {
+      if (feed::ReadKey(key)->kind == feed::kClass) classes.push_back({key, value, 0});
+    });
+    SettingsChanged(classes);
+  }
+
+  // Another scope or other machines; what is in force stays until the new scope is here whole.
+  void ReloadFeed(const operators::SettingsFeedOptions& options) {
+    follower_->SetMachines(loop_.Now(), options.near, options.others);
+    follower_->SetScope(loop_.Now(), ScopeOf(options));
+    feed_->Renew();
+  }
+
   // Ends once all that was taken is answered and written.
   void Leave() {
     acceptor_.Close();
@@ -319,6 +399,8 @@
   Discovery discovery_;
   Console console_;
   std::optional<Peers> peers_;
+  std::optional<feed::Follower> follower_;
+  std::optional<SettingsFeed> feed_;
   Fd signals_;
   Timer drain_timer_;
   bool stopping_ = false;
--- a/src/console/command.cpp
+++ b/src/console/command.cpp
@@ -55,6 +55,7 @@
   if (path == "/_fleet") return get ? After(query) : No(405, "GET only");
   if (path == "/_fleet/leave") return put ? Yes(Verb::kFleetLeave) : No(405, "PUT only");
   if (path == "/_fleet/reap") return put ? Who(Verb::kFleetReap, query) : No(405, "PUT only");
+  if (path == "/_settings") return get ? Yes(Verb::kSettings) : No(405, "GET only");
   return No(404, "no such console call");
 }
 
--- a/src/console/command.hpp
+++ b/src/console/command.hpp
@@ -19,7 +19,8 @@
   kLameduckOff,
   kFleet,
   kFleetLeave,
-  kFleetReap
+  kFleetReap,
+  kSettings
 };
 
 struct Command {
--- a/src/limits/tenant_share.cpp
+++ b/src/limits/tenant_share.cpp
@@ -14,17 +14,30 @@
 
 }  // namespace
 
-TenantShare::TenantShare(std::vector<Share> shares, int proxies)
-    : shares_(std::move(shares)), part_(1.0 / std::max(1, proxies)), accounts_(shares_.size()) {}
+TenantShare::TenantShare(const std::vector<Share>& shares, int proxies) : part_(1.0 / std::max(1, proxies)) {
+  for (int i = 0; const Share& share : shares) Set(i++, true, share);
+}
+
+void TenantShare::Set(int tenant, bool named, Share share) {
+  if (tenant < 0) return;
+  auto at = static_cast<std::size_t>(tenant);
+  if (at >= places_.size()) places_.resize(at + 1);
+  Place& place = places_[at];
+  if (named && !place.named) place.account = Account();
+  named_ += static_cast<std::size_t>(named) - static_cast<std::size_t>(place.named);
+  place.named = named;
+  place.share = share;
+}
 
 bool TenantShare::Over(int tenant, Micros now) {
-  if (shares_.empty()) return false;
+  if (named_ == 0) return false;
   double elapsed = static_cast<double>(now - rate_at_) / kSecond;
   rate_at_ = now;
   rate_ = rate_ * std::exp(-elapsed / kRateSeconds) + 1 / kRateSeconds;
-  if (tenant < 0 || static_cast<std::size_t>(tenant) >= shares_.size()) return true;
-  const Share& share = shares_[static_cast<std::size_t>(tenant)];
-  Account& account = accounts_[static_cast<std::size_t>(tenant)];
+  auto at = static_cast<std::size_t>(tenant);
+  if (tenant < 0 || at >= places_.size() || !places_[at].named) return true;
+  const Share& share = places_[at].share;
+  Account& account = places_[at].account;
   double refill = kSlack * std::max(share.quota_per_s * part_, share.portion * rate_);
   double most = std::max(1.0, kBurst * refill);
   account.left = std::min(most, account.left + refill * static_cast<double>(now - account.at) / kSecond);
--- a/src/limits/tenant_share.hpp
+++ b/src/limits/tenant_share.hpp
@@ -5,7 +5,7 @@
 // nobody. Chance alone must not look like excess, so some slack and a burst are granted.
 //
 // Knows no clock and no socket: times are microseconds that never go back. Memory is fixed by the number of
-// tenants. Not thread-safe.
+// tenants, and a change of one costs by that one. Not thread-safe.
 #ifndef DAPPLETILLER_LIMITS_TENANT_SHARE_HPP_
 #define DAPPLETILLER_LIMITS_TENANT_SHARE_HPP_
 
@@ -24,11 +24,15 @@
   };
 
   // `proxies` (at least 1) divide the quotas evenly; their clocks and counts are their own.
-  TenantShare(std::vector<Share> shares, int proxies);
+  TenantShare(const std::vector<Share>& shares, int proxies);
 
   // From now on the part of the quotas that is this proxy's (0 to 1), instead of an even one.
   void SetPart(double part) { part_ = part; }
 
+  // From now on this is the tenant's share; not `named`: the place is nobody's any more. A place that is new
+  // begins with a full account. Negative places are ignored; memory grows with the greatest.
+  void Set(int tenant, bool named, Share share);
+
   // Takes note of one call at `now` and tells whether it is beyond its tenant's share. Where no tenants are
   // set none is; where some are, one that they don't name (-1) has no share.
   bool Over(int tenant, Micros now);
@@ -38,9 +42,14 @@
     double left = std::numeric_limits<double>::infinity();  // full when first used
     Micros at = 0;
   };
-  std::vector<Share> shares_;
+  struct Place {
+    bool named = false;
+    Share share;
+    Account account;
+  };
   double part_;  // of the quotas
-  std::vector<Account> accounts_;
+  std::vector<Place> places_;
+  std::size_t named_ = 0;  // of them
   double rate_ = 0;  // calls a second arriving here
   Micros rate_at_ = 0;
 };
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -283,6 +283,24 @@
   for (std::size_t i = 0; i < options_.tenants.size(); ++i) {
     tenant_of_[options_.tenants[i]] = static_cast<int>(i);
   }
+  places_named_ = static_cast<int>(options_.tenants.size());
+}
+
+int Acceptor::NameTenant(const std::string& name) {
+  auto [it, fresh] = tenant_of_.try_emplace(name, places_named_);
+  if (!fresh) return it->second;
+  if (free_places_.empty()) return places_named_++;
+  it->second = free_places_.back();
+  free_places_.pop_back();
+  return it->second;
+}
+
+int Acceptor::ForgetTenant(const std::string& name) {
+  auto it = tenant_of_.find(name);
+  if (it == tenant_of_.end()) return -1;
+  free_places_.push_back(it->second);
+  tenant_of_.erase(it);
+  return free_places_.back();
 }
 
 void Acceptor::Retune(const std::vector<std::string>& names, const std::vector<Micros>& patience,
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -67,6 +67,10 @@
   // longer named stays known, so that a late client is still served.
   void Retune(const std::vector<std::string>& names, const std::vector<Micros>& patience,
               const std::vector<sandstand::Effect>& effects);
+  // The place of a tenant for what comes from now on: the one it has, or one that is free.
+  int NameTenant(const std::string& name);
+  // Its place is free again; -1: it had none. Requests that are open keep what was decided for them.
+  int ForgetTenant(const std::string& name);
 
  private:
   class Conn;
@@ -88,6 +92,8 @@
   AcceptorOptions options_;
   std::unordered_map<std::string, int> class_of_;
   std::unordered_map<std::string, int> tenant_of_;
+  int places_named_ = 0;                      // of tenants, ever
+  std::vector<int> free_places_;              // of tenants that were forgotten
   std::size_t modules_classes_ = 0;           // the classes that the module was made with come first
   std::unordered_set<std::string> open_ids_;  // of the calls that are open
   std::vector<char> waste_;                   // where what nobody will read goes
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -37,6 +37,11 @@
   void Learn(const WorkerList& list);
   // From the parts of the fleet: how much of what all proxies share is this one's, until when.
   void Grant(double part, Micros until) { Deliver(sandstand::PartGranted{part, until}); }
+  // From the settings feed: the share of the tenant at this place (the acceptor's NameTenant) from now on, or
+  // that the place is free.
+  void SetTenant(int place, bool named, const sandstand::TenantSettings& share) {
+    Deliver(sandstand::TenantChanged{place, named, share});
+  }
   // From the operators: a worker that counts as draining from now on, whatever discovery lists, and its
   // return, cold. False: discovery never named it. Repeating either is harmless.
   bool Detach(const std::string& uid);
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -26,6 +26,8 @@
 constexpr std::array kForms = {Form{"text", false}, Form{"json", true}};
 
 constexpr std::uint32_t kLoopbackNet = 127;
+constexpr std::size_t kMostControlMachines = 16;
+constexpr std::size_t kMostFeedServices = 200;
 
 Endpoint Address(const Section& section, std::string_view key, const std::string& text) {
   auto endpoint = ParseEndpoint(text);
@@ -107,6 +109,61 @@
   return fleet;
 }
 
+// Addresses of control machines. Only loopback, as with the fleet's datagrams without a key: what is told
+// there is neither signed nor secret yet.
+std::vector<std::string> ControlMachines(Section& s, std::string_view key) {
+  std::vector<std::string> machines = s.Words(key);
+  for (const std::string& machine : machines) {
+    if (Address(s, key, machine).address >> 24 != kLoopbackNet)
+      s.Fail(key,
+             machine + " is not a loopback address; the feed has no keys yet, so nothing else is spoken to");
+  }
+  std::vector<std::string> sorted = machines;
+  std::sort(sorted.begin(), sorted.end());
+  if (std::adjacent_find(sorted.begin(), sorted.end()) != sorted.end())
+    s.Fail(key, "names a machine twice; remove one");
+  if (machines.size() > kMostControlMachines) s.Fail(key, "more than 16; a few are enough for any fleet");
+  return machines;
+}
+
+SettingsFeedOptions ReadSettingsFeed(Section s) {
+  SettingsFeedOptions feed;
+  feed.near = ControlMachines(s, "machines");
+  if (feed.near.empty())
+    s.Fail("machines", "is missing; give the control machines, the near ones, as 127.0.0.1:9400");
+  feed.others = ControlMachines(s, "others");
+  for (const std::string& machine : feed.others) {
+    if (std::find(feed.near.begin(), feed.near.end(), machine) != feed.near.end())
+      s.Fail("others", machine + " is among machines already; remove one");
+  }
+  feed.services = s.Words("services");
+  for (const std::string& service : feed.services) {
+    bool word = PlainName(service) && service.find_first_of(",/=?#*") == std::string::npos;
+    if (!word)
+      s.Fail("services", "'" + service + "' is not a service's name; give a plain word without , / = ? # *");
+  }
+  if (feed.services.size() > kMostFeedServices)
+    s.Fail("services", "more than 200; a proxy takes the services that it works with");
+  feed.whole_rate = s.Number("whole_bytes_per_s", 20'000, 1'000, 1e9);
+  s.RefuseOthers();
+  return feed;
+}
+
+ControlOptions ReadControl(Section s) {
+  ControlOptions control;
+  control.name = s.Text("name");
+  if (!PlainName(control.name) || control.name.find_first_of(",/=?#") != std::string::npos)
+    s.Fail("name", "is missing or not a plain word; name this machine, as no other is named");
+  control.bind = Address(s, "bind", s.Text("bind"));
+  if (control.bind.address >> 24 != kLoopbackNet)
+    s.Fail("bind", "is not a loopback address; the feed has no keys yet, so nothing else is bound");
+  control.others = ControlMachines(s, "others");
+  control.origin = s.Text("origin");
+  control.places = s.Count("places", control.places, 1, 1'000);
+  s.RefuseOthers();
+  return control;
+}
+
 std::string Slurp(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
@@ -124,6 +181,10 @@
   file.log_level = top.OneOf("log_level", kLevels, "info");
   if (const toml::table* fleet = top.Table("fleet"))
     file.fleet = ReadFleet(Section(*fleet, name, "fleet"), name, read);
+  if (const toml::table* feed = top.Table("settings_feed"))
+    file.settings_feed = ReadSettingsFeed(Section(*feed, name, "settings_feed"));
+  if (const toml::table* control = top.Table("control"))
+    file.control = ReadControl(Section(*control, name, "control"));
   top.RefuseOthers();
   return file;
 }
@@ -135,9 +196,9 @@
   } catch (const std::runtime_error& e) {
     throw OperatorError(path + ": " + e.what() + "; give the path of a TOML file");
   }
-  // A key file is named from where the operator file lies.
+  // A key file and the origin's are named from where the operator file lies.
   std::filesystem::path folder = std::filesystem::path(path).parent_path();
-  return ParseOperatorFile(text, path, [&folder](const std::string& named) {
+  OperatorFile file = ParseOperatorFile(text, path, [&folder](const std::string& named) {
     std::filesystem::path key =
         std::filesystem::path(named).is_absolute() ? std::filesystem::path(named) : folder / named;
     struct stat info {};
@@ -146,6 +207,9 @@
     }
     return Slurp(key.string());
   });
+  if (file.control && !file.control->origin.empty())
+    file.control->origin = (folder / file.control->origin).string();
+  return file;
 }
 
 }  // namespace dappletiller::operators
--- a/src/operator/operator_file.hpp
+++ b/src/operator/operator_file.hpp
@@ -31,10 +31,29 @@
   Micros lease = 3'000'000;
 };
 
+// A proxy that takes its settings from the feed (docs/feed.md).
+struct SettingsFeedOptions {
+  std::vector<std::string> near;      // control machines of its region, by address
+  std::vector<std::string> others;    // asked once none of these answers
+  std::vector<std::string> services;  // whose entries it takes, beside everybody's
+  double whole_rate = 0;              // bytes a second for a whole
+};
+
+// A control machine of the settings feed.
+struct ControlOptions {
+  std::string name;
+  Endpoint bind;
+  std::vector<std::string> others;  // the other machines, by address
+  std::string origin;               // the file of the settings, where this machine is the origin
+  int places = 16;                  // wholes told at once
+};
+
 struct OperatorFile {
   bool log_json = false;
   std::string log_level = "info";
   std::optional<FleetOptions> fleet;
+  std::optional<SettingsFeedOptions> settings_feed;
+  std::optional<ControlOptions> control;
 };
 
 // What a key file holds; throws std::runtime_error with a line that says what is wrong with it.
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -40,6 +40,10 @@
 };
 
 constexpr std::size_t kEntrySize = 21;
+// A whole file of settings takes some 0.9 kB a tenant while it is read (docs/data/change-cost-before.json):
+// 240 MB here, already more than a proxy is to take. More of them belong into the settings feed
+// (docs/feed.md).
+constexpr int kMostTenants = 262'144;
 constexpr std::uint64_t kLatest = std::uint64_t{1} << 62;  // times beyond this would overflow when added to
 
 // Reads little-endian fields off a view and never past its end.
@@ -381,7 +385,7 @@
       throw Error("class " + std::to_string(i) + " has no aim or no giveUp");
     }
   }
-  int tenants = paths.Count("tenants.count", 65536, 0);
+  int tenants = paths.Count("tenants.count", kMostTenants, 0);
   for (int i = 0; i < tenants; ++i) {
     std::string at = "tenants." + std::to_string(i) + ".";
     s.tenants.push_back({paths.Number(at + "portion"), paths.Number(at + "quotaRps")});
--- /dev/null
+++ b/tests/feed/store_test.cpp
@@ -0,0 +1,388 @@
+// The settings feed's store, its text forms and the origin's file: by hand, no socket and no clock.
+#include "feed/store.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "feed/admission.hpp"
+#include "feed/in_force.hpp"
+#include "feed/origin.hpp"
+#include "feed/page_json.hpp"
+
+namespace dappletiller::feed {
+namespace {
+
+std::vector<Change> Tenants(int first, int last, const std::string& service, const std::string& value) {
+  std::vector<Change> changes;
+  for (int i = first; i < last; ++i)
+    changes.push_back({"tenant/" + service + "/t" + std::to_string(i), value, 0});
+  return changes;
+}
+
+Question After(const Store& held, Scope scope = {true, {}}) {
+  return {held.head(), std::nullopt, std::move(scope)};
+}
+
+// Walks on until all is told; the number of pages.
+int Catch(const Store& from, Store* to, std::size_t page_bytes, const Scope& scope = {true, {}}) {
+  for (int pages = 1; pages < 10'000; ++pages) {
+    Page page = from.Tell(After(*to, scope), page_bytes);
+    REQUIRE_FALSE(page.whole);
+    to->Apply(page);
+    if (page.last()) return pages;
+  }
+  return -1;
+}
+
+bool Same(const Store& a, const Store& b) {
+  bool same = a.size() == b.size();
+  a.ForEach([&](const std::string& key, const std::string& value) {
+    const std::string* other = b.Find(key);
+    same = same && other != nullptr && *other == value;
+  });
+  return same;
+}
+
+TEST_CASE("keys are three words; the name may hold a slash") {
+  for (const char* bad : {"", "a", "a/b", "a//c", "/b/c", "a/b/", "a/b/c d", "a/b/\n"}) {
+    CAPTURE(bad);
+    CHECK_FALSE(ReadKey(bad));
+  }
+  CHECK_FALSE(ReadKey("a/b/" + std::string(kLongestWord + 1, 'c')));
+  auto key = ReadKey("route/plan-7//api/v1");
+  REQUIRE(key);
+  CHECK(key->service == "plan-7");
+  CHECK(key->name == "/api/v1");
+}
+
+TEST_CASE("a delta holds what has changed since, each key once, and costs by that") {
+  Store store;
+  store.Publish(1, 7, Tenants(0, 1000, "a", "x"));
+  Store follower;
+  Page whole = store.Tell(After(follower), 1 << 30);
+  CHECK(whole.whole);
+  CHECK(whole.changes.size() == 1000);
+  follower.Apply(whole);
+  CHECK(follower.head() == store.head());
+
+  for (int round = 0; round < 5; ++round)
+    store.Publish(2 + static_cast<std::uint64_t>(round), 7, Tenants(3, 5, "a", std::to_string(round)));
+  store.Publish(7, 7, {{"tenant/a/t9", std::nullopt, 0}, {"tenant/a/none", std::nullopt, 0}});
+  Page page = store.Tell(After(follower), 1 << 30);
+  CHECK_FALSE(page.whole);
+  CHECK(page.changes.size() == 3);
+  follower.Apply(page);
+  CHECK(Same(store, follower));
+  CHECK(follower.Find("tenant/a/t9") == nullptr);
+  // What is so already costs no version.
+  std::uint64_t version = store.head().version;
+  CHECK(store.Publish(8, 7, Tenants(3, 5, "a", "4")).empty());
+  CHECK(store.head().version == version);
+  CHECK(store.head().serial == 8);
+}
+
+TEST_CASE("the serial counts only once all of it is here") {
+  Store store, follower;
+  store.Publish(1, 7, Tenants(0, 10, "a", "x"));
+  follower.Apply(store.Tell(After(follower), 1 << 20));
+  store.Publish(2, 7, Tenants(0, 10, "a", "y"));
+  Page half = store.Tell(After(follower), 100);
+  REQUIRE_FALSE(half.last());
+  follower.Apply(half);
+  CHECK(follower.head().serial == 1);
+  Catch(store, &follower, 100);
+  CHECK(follower.head().serial == 2);
+}
+
+TEST_CASE("a scope takes its services and everybody's, and what leaves nothing behind in others") {
+  Store store, follower;
+  store.Publish(1, 7, Tenants(0, 5, "a", "x"));
+  store.Publish(2, 7, Tenants(0, 5, "b", "x"));
+  store.Publish(3, 7, {{"class/*/check", "1", 0}});
+  Scope scope{false, {"b", "c"}};
+  Page page = store.Tell(After(follower, scope), 1 << 20);
+  CHECK(page.changes.size() == 6);
+  follower.Apply(page);
+  CHECK(follower.head() == store.head());
+  // News outside the scope are no news, and the version goes on with the next answer.
+  store.Publish(4, 7, Tenants(0, 1, "a", "y"));
+  CHECK_FALSE(store.HasNews(After(follower, scope)));
+  page = store.Tell(After(follower, scope), 1 << 20);
+  CHECK(page.changes.empty());
+  follower.Apply(page);
+  CHECK(follower.head() == store.head());
+  // An entry that moves to another service is removed here.
+  store.Publish(5, 7, {{"tenant/b/t1", std::nullopt, 0}, {"tenant/a/t1", "x", 0}});
+  CHECK(store.HasNews(After(follower, scope)));
+  Catch(store, &follower, 1 << 20, scope);
+  CHECK(follower.Find("tenant/b/t1") == nullptr);
+}
+
+TEST_CASE("who follows from before what is forgotten, or from another line, is given the whole") {
+  Store store(10), follower;
+  store.Publish(1, 7, Tenants(0, 100, "a", "x"));
+  follower.Apply(store.Tell(After(follower), 1 << 20));
+  std::vector<Change> gone;
+  for (int i = 0; i < 50; ++i) gone.push_back({"tenant/a/t" + std::to_string(i), std::nullopt, 0});
+  store.Publish(2, 7, gone);
+  CHECK(store.size() == 50);
+  CHECK(store.Tell(After(follower), 1 << 20).whole);
+
+  Store other;
+  other.Publish(3, 99, Tenants(0, 5, "a", "x"));
+  CHECK(other.Tell(After(follower), 1 << 20).whole);
+  // A newer line that goes on from this one tells a delta, unless the follower had gone further.
+  Store heir;
+  Page page = store.Tell(After(heir), 1 << 20);
+  heir.Apply(page);
+  Store ahead = heir;
+  heir.Publish(3, 100, Tenants(60, 61, "a", "z"));
+  Store late;
+  late.Apply(store.Tell(After(late), 1 << 20));
+  page = heir.Tell(After(late), 1 << 20);
+  CHECK_FALSE(page.whole);
+  CHECK(page.changes.size() == 1);
+  ahead.Publish(3, 7, Tenants(70, 80, "a", "w"));  // what the old origin said after the heir went its own way
+  CHECK(heir.Tell(After(ahead), 1 << 20).whole);
+}
+
+TEST_CASE("a machine that is behind says so, and never takes a follower back") {
+  Store old, now;
+  old.Publish(5, 7, Tenants(0, 5, "a", "x"));
+  now.Apply(old.Tell(After(now), 1 << 20));
+  CHECK_FALSE(old.Behind(After(now)));
+  now.Publish(6, 7, Tenants(0, 5, "a", "y"));
+  CHECK(old.Behind(After(now)));
+  CHECK_FALSE(now.Behind(After(old)));
+  Store empty;
+  CHECK(empty.Behind(After(old)));
+  CHECK(empty.Behind(After(Store())));
+  // The same serial in two lines: the later line counts, on both sides.
+  Store other;
+  other.Publish(6, 8, Tenants(0, 5, "a", "q"));
+  CHECK(now.Behind(After(other)));
+  CHECK_FALSE(other.Behind(After(now)));
+}
+
+// Half of the entries are replaced, removed and renewed while the whole is being told page by page.
+TEST_CASE("a walk of the whole ends with just what is there, whatever changes meanwhile") {
+  for (unsigned seed = 1; seed <= 200; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    Store store(seed % 2 == 0 ? 20 : 100'000);
+    store.Publish(1, 7, Tenants(0, 400, "a", "x"));
+    // Forgotten before the walk began: no reason to begin anew.
+    std::vector<Change> early;
+    for (int i = 350; i < 400; ++i) early.push_back({"tenant/a/t" + std::to_string(i), std::nullopt, 0});
+    store.Publish(2, 7, early);
+    Store walk;
+    std::optional<std::uint64_t> began;
+    int pages = 0;
+    for (std::uint64_t serial = 3;; ++serial) {
+      REQUIRE(++pages < 5'000);
+      Page page = store.Tell({walk.head(), began, {true, {}}}, 600);
+      REQUIRE(page.whole);
+      if (page.after == 0) walk = Store(), began = page.head.version;
+      walk.Apply(page);
+      if (page.last()) break;
+      if (serial > 100) continue;
+      std::vector<Change> changes;
+      for (int i = 0; i < 8; ++i) {
+        auto n = std::to_string(random() % 450);
+        if (random() % 2)
+          changes.push_back({"tenant/a/t" + n, "y" + std::to_string(serial), 0});
+        else
+          changes.push_back({"tenant/a/t" + n, std::nullopt, 0});
+      }
+      store.Publish(serial, 7, changes);
+    }
+    CHECK(Same(store, walk));
+  }
+}
+
+TEST_CASE("a walk doesn't go on at a machine that stands before where it began") {
+  Store far, near;
+  far.Publish(1, 7, Tenants(0, 100, "a", "x"));
+  near.Apply(far.Tell(After(near), 1 << 20));
+  far.Publish(2, 7, Tenants(0, 50, "a", "y"));  // t0 to t49 are now beyond what `near` holds
+  Page page = far.Tell({{}, std::nullopt, {true, {}}}, 500);
+  REQUIRE_FALSE(page.last());
+  CHECK(near.Behind({{0, 7, page.to}, page.head.version, {true, {}}}));
+  CHECK_FALSE(near.Behind({{0, 7, page.to}, 100, {true, {}}}));
+}
+
+TEST_CASE("questions and pages come through their text, and nothing torn does") {
+  Asked asked{"proxy-1", {{12, 1'764'600'000'000'000, 340}, 350, {false, {"plan-1", "plan-7"}}}, 2000};
+  auto read = ReadQuestion(WriteQuestion(asked));
+  REQUIRE(read);
+  CHECK(read->self == "proxy-1");
+  CHECK(read->question.held == asked.question.held);
+  CHECK(read->question.began == asked.question.began);
+  CHECK(read->question.scope == asked.question.scope);
+  CHECK(read->wait_ms == 2000);
+  for (const char* bad :
+       {"/feed", "/feed?", "/feed?self=a&serial=1&epoch=2&after=3",
+        "/other?self=a&serial=1&epoch=2&after=3&all=1", "/feed?self=a&serial=1&epoch=2&after=-3&all=1",
+        "/feed?self=a&serial=1&epoch=2&after=3&all=2", "/feed?self=a&self=b&serial=1&epoch=2&after=3&all=1",
+        "/feed?self=&serial=1&epoch=2&after=3&all=1",
+        "/feed?self=a&serial=1&epoch=2&after=3&all=1&services=a",
+        "/feed?self=a&serial=1&epoch=2&after=3&services=a,,b",
+        "/feed?self=a&serial=1&epoch=2&after=3&all=1&wait_ms=99999999"}) {
+    CAPTURE(bad);
+    CHECK_FALSE(ReadQuestion(bad));
+  }
+  CHECK(ReadQuestion("/feed?self=a&serial=1&epoch=2&after=3&services="));
+
+  Page page;
+  page.head = {13, 1'764'600'000'000'001, 351};
+  page.to = 351;
+  page.after = 340;
+  page.ancestors = {{5, 300}};
+  page.changes = {{"tenant/plan-7/acme", "{\"a\":\"\\u00e9 \\\"\"}", 341},
+                  {"tenant/plan-7/gone", std::nullopt, 351}};
+  std::string text = WritePage(page);
+  auto back = ReadPage(text);
+  REQUIRE(back);
+  CHECK(back->head == page.head);
+  CHECK(back->ancestors == page.ancestors);
+  CHECK(back->changes == page.changes);
+  for (std::size_t cut = 0; cut < text.size(); ++cut) {
+    CAPTURE(cut);
+    CHECK_FALSE(ReadPage(text.substr(0, cut)));
+  }
+  for (const char* part : {"\"to\"", "[\"5\"", "/plan-7/acme", "false"}) {
+    std::string bad = text;
+    bad.replace(bad.find(part), 1, "]");
+    CHECK_FALSE(ReadPage(bad));
+  }
+}
+
+TEST_CASE("the largest page fits an HTTP answer of the codec") {
+  Store store;
+  std::vector<Change> changes;
+  for (int i = 0; i < 300; ++i) {
+    std::string value = "\"";
+    while (value.size() < kLongestValue - 3) value += "\\\"";  // the most that quoting can add
+    changes.push_back({"route/a/" + std::to_string(i), value + "\"", 0});
+  }
+  store.Publish(1, 7, changes);
+  Store follower;
+  CHECK(WritePage(store.Tell(After(follower), kPageBytes)).size() < 60 * 1024);
+}
+
+std::string OriginText(int serial, const std::vector<std::string>& lines) {
+  std::string text = "{\"serial\": " + std::to_string(serial) + "}\n";
+  for (const std::string& line : lines) text += line + "\n";
+  return text;
+}
+std::string Tenant(const std::string& name, double quota) {
+  return R"({"kind":"tenant","service":"a","name":")" + name + R"(","value":{"portion":0.5,"quotaRps":)" +
+         std::to_string(quota) + "}}";
+}
+
+TEST_CASE("the origin's file: only what differs, and a bad one changes nothing") {
+  Origin origin("o.jsonl");
+  auto first = origin.Read(OriginText(1, {Tenant("x", 1), Tenant("y", 2), "", Tenant("z", 3)}));
+  CHECK(first.serial == 1);
+  CHECK(first.entries == 3);
+  CHECK(first.changes.size() == 3);
+  auto second = origin.Read(OriginText(2, {Tenant("y", 2), Tenant("x", 9), Tenant("w", 4)}));
+  REQUIRE(second.changes.size() == 3);
+  CHECK(second.changes[0].key == "tenant/a/w");
+  CHECK(second.changes[1].key == "tenant/a/x");
+  CHECK(second.changes[2].key == "tenant/a/z");
+  CHECK_FALSE(second.changes[2].value);
+  CHECK(origin.Read(OriginText(2, {Tenant("x", 9), Tenant("y", 2), Tenant("w", 4)})).changes.empty());
+
+  struct Row {
+    std::string text;
+    const char* says;
+  };
+  std::string fine = OriginText(3, {Tenant("x", 9)});
+  const Row rows[] = {
+      {"", "o.jsonl:1: serial: is missing"},
+      {OriginText(0, {}), "o.jsonl:1: serial: is missing"},
+      {fine.substr(0, fine.size() - 1), "o.jsonl:2: does not end in a newline"},
+      {fine.substr(0, fine.size() - 9) + "\n", "o.jsonl:2: is no JSON object"},
+      {OriginText(2, {Tenant("x", 10)}), "o.jsonl:1: serial: 2 is not above 2"},
+      {OriginText(1, {Tenant("x", 9), Tenant("y", 2), Tenant("w", 4)}), "o.jsonl:1: serial: 1 is below 2"},
+      {OriginText(3, {Tenant("q", 1), Tenant("q", 2)}), "o.jsonl:3: tenant/a/q: stands on line 2 too"},
+      {OriginText(3, {Tenant("y", 2), Tenant("y", 7)}), "o.jsonl:3: tenant/a/y: stands on another line too"},
+      {OriginText(3, {Tenant("q", 1), Tenant("q", 1)}), "o.jsonl:3: says the same as line 2"},
+      {OriginText(3, {Tenant("q", -1)}), "o.jsonl:2: tenant/a/q: value.quotaRps is missing or out of range"},
+      {OriginText(3, {R"({"kind":"class","service":"*","name":"c","value":{"giveUp":5,"effect":"maybe"}})"}),
+       "o.jsonl:2: class/*/c: value.effect is unknown; give one of"},
+      {OriginText(3, {R"({"kind":"route","service":"a","name":"c"})"}),
+       "o.jsonl:2: route/a/c: value is missing"},
+      {OriginText(3, {R"({"kind":"route","service":"a","name":"c","value":1,"x":2})"}), "not known here"},
+      {OriginText(3, {R"({"kind":"route","service":7,"name":"c","value":1})"}),
+       "o.jsonl:2: service: is missing"},
+      {OriginText(3, {R"({"kind":"route","service":"a/b","name":"c","value":1})"}), "is no key"},
+      {OriginText(
+           3, {R"({"kind":"route","service":"a","name":"c","value":")" + std::string(5'000, 'x') + "\"}"}),
+       "longer than 4096 bytes"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.text.substr(0, 120));
+    std::string said = "nothing";
+    try {
+      origin.Read(row.text);
+    } catch (const OriginError& e) {
+      said = e.what();
+    }
+    CAPTURE(said);
+    CHECK(said.find(row.says) != std::string::npos);
+    CHECK(origin.serial() == 2);
+  }
+  // Nothing of the bad ones has stayed.
+  Store store;
+  store.Publish(2, 7, origin.Against(store));
+  CHECK(store.size() == 3);
+  CHECK(origin.Against(store).empty());
+  CHECK(origin.Read(OriginText(3, {Tenant("x", 9), Tenant("y", 2), Tenant("w", 4)})).changes.empty());
+}
+
+TEST_CASE("a name that several services say is settled the same way everywhere") {
+  Store store;
+  store.Publish(1, 7, {{"tenant/*/t", "all", 0}, {"tenant/b/t", "b", 0}, {"tenant/c/t", "c", 0}});
+  Scope scope{false, {"b", "c"}};
+  auto value = [&](const Scope& of) {
+    auto effects = InForce(store, of, {{"tenant/c/t", "c", 0}, {"tenant/*/t", "all", 0}});
+    REQUIRE(effects.size() == 1);
+    return effects[0].value.value_or("none");
+  };
+  CHECK(value(scope) == "b");
+  CHECK(value({false, {"c"}}) == "c");
+  CHECK(value({false, {"d"}}) == "all");
+  store.Publish(2, 7, {{"tenant/b/t", std::nullopt, 0}});
+  CHECK(value(scope) == "c");
+  store.Publish(3, 7, {{"tenant/c/t", std::nullopt, 0}});
+  CHECK(value(scope) == "all");
+  store.Publish(4, 7, {{"tenant/*/t", std::nullopt, 0}});
+  CHECK(value(scope) == "none");
+}
+
+TEST_CASE("so many wholes at once, and a place of one who fell silent comes back") {
+  Admission admission(2);
+  CHECK(admission.Enter("a", 0) == 0);
+  CHECK(admission.Enter("b", 0) == 0);
+  CHECK(admission.Enter("a", 10) == 0);  // its next page
+  Admission::Micros first = admission.Enter("c", 20);
+  CHECK(first >= Admission::kLeastRetry);
+  Admission::Micros later = 0;
+  for (int i = 0; i < 100; ++i) later = admission.Enter("x" + std::to_string(i), 30);
+  CHECK(later > first);
+  CHECK(later <= Admission::kMostRetry);
+  admission.Leave("a", 40);
+  CHECK(admission.Enter("new", 50) > 0);  // a place is free, but others are before it
+  CHECK(admission.Enter("c", 20 + first) == 0);
+  CHECK(admission.Enter("x0", 20 + first) > 0);
+  CHECK(admission.Enter("x0", Admission::kPlaceTime) == 0);  // "b" has not asked for a page since
+  CHECK(admission.most_held() == 2);
+}
+
+}  // namespace
+}  // namespace dappletiller::feed
