--- a/tests/feed/change_cost.cpp
+++ b/tests/feed/change_cost.cpp
@@ -5,8 +5,14 @@
 
 #include <cstdio>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "feed/follower.hpp"
+#include "feed/in_force.hpp"
+#include "feed/origin.hpp"
+#include "feed/page_json.hpp"
+#include "feed/values.hpp"
 #include "net/config.hpp"
 #include "sandstand/balancer.hpp"
 
@@ -121,6 +127,144 @@
 }
 BENCHMARK(WholeList)->Arg(120)->Arg(1'200)->Arg(17'000)->Unit(benchmark::kMillisecond);
 
+// ---- The same change by the settings feed ----
+
+constexpr int kServices = 510;
+
+feed::Change TenantEntry(int i, double quota, int services) {
+  char key[80], value[80];
+  std::snprintf(key, sizeof key, "tenant/plan-%d/tenant-branch-%06d", i % services, i);
+  std::snprintf(value, sizeof value, R"({"portion":0.0000055,"quotaRps":%.1f})", quota);
+  return {key, value, 0};
+}
+
+void Fill(feed::Store* store, int tenants, int services) {
+  std::vector<feed::Change> all;
+  for (int i = 0; i < tenants; ++i) all.push_back(TenantEntry(i, 1 + i % 7 + 0.5, services));
+  store->Publish(1, 7, all);
+}
+
+// One changed tenant in a proxy of one service: from the answer's text to the module. Bytes: question and
+// answer with their heads. `range(1)`: services over which the tenants lie.
+void FeedChangeInProxy(benchmark::State& state) {
+  int tenants = static_cast<int>(state.range(0)), services = static_cast<int>(state.range(1));
+  feed::Store origin;
+  Fill(&origin, tenants, services);
+  double before = ResidentMegabytes();
+  feed::FollowerOptions options;
+  options.self = "p";
+  options.near = {"m"};
+  options.scope.services = {"plan-0"};
+  feed::Follower follower(options);
+  sandstand::Settings settings;
+  settings.gateways = 1'900;
+  sandstand::ClassSettings safe;
+  safe.aim = safe.deadline = 800'000;
+  settings.classes = {safe};
+  sandstand::Balancer module(settings);
+  std::unordered_map<std::string, int> places;
+  std::vector<sandstand::Action> actions;
+  feed::Micros now = 0;
+  auto take = [&](const std::string& text) {
+    auto page = feed::ReadPage(text);
+    for (const feed::Effect& effect :
+         feed::InForce(follower.held(), follower.scope(), follower.Answered(now, *page, 0))) {
+      std::string why;
+      auto tenant = feed::ReadTenant(effect.value.value_or(""), &why);
+      int place = places.try_emplace(effect.name, static_cast<int>(places.size())).first->second;
+      module.Handle(now, sandstand::TenantChanged{place, true, {tenant->portion, tenant->quota_per_s}},
+                    &actions);
+    }
+  };
+  std::uint64_t whole_bytes = 0, bytes = 0, changes = 0;
+  while (follower.held().head().version < origin.head().version) {
+    auto ask = follower.Next(now += 1'000);
+    std::string text = feed::WritePage(origin.Tell(ask->question, feed::kPageBytes));
+    whole_bytes += text.size();
+    take(text);
+  }
+  double after = ResidentMegabytes();
+  std::uint64_t serial = 1;
+  for (auto round : state) {
+    (void)round;
+    state.PauseTiming();
+    ++serial;
+    origin.Publish(serial, 7, {TenantEntry(0, static_cast<double>(serial % 1'000), services)});
+    auto ask = follower.Next(now += 1'000'000);
+    std::string text = feed::WritePage(origin.Tell(ask->question, feed::kPageBytes));
+    bytes += text.size() + feed::WriteQuestion({"p", ask->question, 2'000}).size() + 130;
+    ++changes;
+    state.ResumeTiming();
+    take(text);
+  }
+  state.counters["bytes"] = static_cast<double>(bytes) / static_cast<double>(changes);
+  state.counters["whole_bytes"] = static_cast<double>(whole_bytes);
+  state.counters["entries"] = static_cast<double>(follower.held().size());
+  state.counters["rss_mb"] = after - before;
+}
+BENCHMARK(FeedChangeInProxy)
+    ->ArgsProduct({{100, 1'000, 10'000, 65'536, 180'000}, {1, kServices}})
+    ->Unit(benchmark::kMicrosecond);
+
+// One changed tenant at a control machine: publishing it and telling one proxy.
+void FeedChangeAtMachine(benchmark::State& state) {
+  double before = ResidentMegabytes();
+  feed::Store store;
+  Fill(&store, static_cast<int>(state.range(0)), kServices);
+  double after = ResidentMegabytes();
+  std::uint64_t serial = 1;
+  for (auto round : state) {
+    (void)round;
+    feed::Question question{store.head(), std::nullopt, {false, {"plan-0"}}};
+    ++serial;
+    store.Publish(serial, 7, {TenantEntry(0, static_cast<double>(serial % 1'000), kServices)});
+    benchmark::DoNotOptimize(feed::WritePage(store.Tell(question, feed::kPageBytes)));
+  }
+  state.counters["rss_mb"] = after - before;
+}
+BENCHMARK(FeedChangeAtMachine)
+    ->Arg(100)
+    ->Arg(1'000)
+    ->Arg(10'000)
+    ->Arg(65'536)
+    ->Arg(180'000)
+    ->Unit(benchmark::kMicrosecond);
+
+// The origin reads its file with one changed line: the one part that grows with the file, on one machine.
+void OriginFileChange(benchmark::State& state) {
+  auto text = [&](int serial) {
+    std::string all = "{\"serial\": " + std::to_string(serial) + "}\n";
+    for (int i = 0; i < state.range(0); ++i) {
+      char line[200];
+      std::snprintf(line, sizeof line,
+                    R"({"kind":"tenant","service":"plan-%d","name":"tenant-branch-%06d","value":)"
+                    R"({"portion":0.0000055,"quotaRps":%d.5}})"
+                    "\n",
+                    i % kServices, i, i == 0 ? serial % 1'000 : 1 + i % 7);
+      all += line;
+    }
+    return all;
+  };
+  feed::Origin origin("bench");
+  int serial = 1;
+  origin.Read(text(serial));
+  for (auto round : state) {
+    (void)round;
+    state.PauseTiming();
+    std::string next = text(++serial);
+    state.ResumeTiming();
+    benchmark::DoNotOptimize(origin.Read(next).changes.size());
+  }
+  state.counters["bytes"] = static_cast<double>(text(serial).size());
+}
+BENCHMARK(OriginFileChange)
+    ->Arg(100)
+    ->Arg(1'000)
+    ->Arg(10'000)
+    ->Arg(65'536)
+    ->Arg(180'000)
+    ->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace dappletiller
 
--- a/tests/limits/tenant_share_test.cpp
+++ b/tests/limits/tenant_share_test.cpp
@@ -70,6 +70,30 @@
   CHECK(burst == 26);  // two seconds at ten a second, and the slack
 }
 
+TEST_CASE(
+    "a share changes while it is in use, and a place that is freed is nobody's until it is named again") {
+  TenantShare share({{0, 10}}, 1);
+  TenantShare::Micros now = kSecond;
+  CHECK(Within(share, 0, 600, 60 * kSecond, &now) == 600);
+  share.Set(0, true, {0, 2});  // its account stays: what was saved up is cut to the new burst
+  CHECK(Within(share, 0, 600, 60 * kSecond, &now) < 200);
+  share.Set(2, true, {0, 10});  // a new place; the one before it is nobody's
+  CHECK_FALSE(share.Over(2, now));
+  CHECK(share.Over(1, now));
+  share.Set(0, false, {});
+  CHECK(share.Over(0, now));
+  share.Set(0, true, {0, 1});
+  CHECK_FALSE(share.Over(0, now));  // full when first used
+  CHECK(share.Over(-1, now));
+  share.Set(-1, true, {1, 1e6});
+  CHECK(share.Over(-1, now));
+  // With the last one gone there are no tenants at all.
+  share.Set(0, false, {});
+  share.Set(0, false, {});
+  share.Set(2, false, {});
+  CHECK_FALSE(share.Over(-1, now));
+}
+
 // Guards against a client that escapes its share by naming nobody.
 TEST_CASE("who is not named in the settings has no share, unless there are no tenants at all") {
   TenantShare some({{1, 1e6}}, 1);
--- a/tests/net/console_test.cpp
+++ b/tests/net/console_test.cpp
@@ -36,6 +36,8 @@
       {"PUT", "/_plan-servers/detach?who=a&who=b", Verb::kNone, 400, ""},
       {"PUT", "/_plan-servers/detach?who=a%20b", Verb::kNone, 400, ""},
       {"POST", "/_plan-servers/attach?who=w1", Verb::kNone, 405, ""},
+      {"GET", "/_settings", Verb::kSettings, 0, ""},
+      {"PUT", "/_settings", Verb::kNone, 405, ""},
       {"GET", "/up", Verb::kNone, 404, ""},
       {"PUT", "/_lameduck", Verb::kNone, 404, ""},
   };
--- a/tests/operator/operator_file_test.cpp
+++ b/tests/operator/operator_file_test.cpp
@@ -52,6 +52,25 @@
   CHECK(file.fleet->lease == 2'000'000);
 }
 
+TEST_CASE("the settings feed, and a control machine of it") {
+  CHECK_FALSE(Parse(kFine).settings_feed.has_value());
+  OperatorFile file = Parse(
+      "[settings_feed]\nmachines = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\nothers = \"127.0.0.1:3\"\n"
+      "services = [\"plan-7\"]\nwhole_bytes_per_s = 5000\n"
+      "[control]\nname = \"c1\"\nbind = \"127.0.0.1:9\"\nothers = \"127.0.0.1:3\"\norigin = \"o.jsonl\"\n"
+      "places = 3\n");
+  REQUIRE(file.settings_feed.has_value());
+  CHECK(file.settings_feed->near.size() == 2);
+  CHECK(file.settings_feed->others.size() == 1);
+  CHECK(file.settings_feed->services == std::vector<std::string>{"plan-7"});
+  CHECK(file.settings_feed->whole_rate == 5'000);
+  REQUIRE(file.control.has_value());
+  CHECK(file.control->name == "c1");
+  CHECK(file.control->bind.port == 9);
+  CHECK(file.control->origin == "o.jsonl");
+  CHECK(file.control->places == 3);
+}
+
 TEST_CASE("each mistake names file, line, key and remedy") {
   struct Row {
     std::string text;
@@ -63,6 +82,24 @@
       {"log = \"xml\"\n", "f.toml:1: log: 'xml' is unknown; give one of text, json"},
       {"fleet = 3\n", "f.toml:1: fleet: is not a section; write [fleet]"},
       {"[fleet]\nbind = \"127.0.0.1:0\"\n", "f.toml:1: fleet.name: is missing"},
+      {"[settings_feed]\n", "f.toml:1: settings_feed.machines: is missing; give the control machines"},
+      {"[settings_feed]\nmachines = \"x\"\n", "f.toml:2: settings_feed.machines: 'x' is not an address"},
+      {"[settings_feed]\nmachines = \"10.0.0.4:1\"\n", "10.0.0.4:1 is not a loopback address"},
+      {"[settings_feed]\nmachines = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n",
+       "names a machine twice; remove one"},
+      {"[settings_feed]\nmachines = \"127.0.0.1:1\"\nothers = \"127.0.0.1:1\"\n",
+       "f.toml:3: settings_feed.others: 127.0.0.1:1 is among machines already"},
+      {"[settings_feed]\nmachines = \"127.0.0.1:1\"\nservices = [\"a,b\"]\n",
+       "f.toml:3: settings_feed.services: 'a,b' is not a service's name"},
+      {"[settings_feed]\nmachines = \"127.0.0.1:1\"\nwhole_bytes_per_s = 1\n",
+       "f.toml:3: settings_feed.whole_bytes_per_s: is out of range"},
+      {"[settings_feed]\nmachines = \"127.0.0.1:1\"\nservice = \"a\"\n",
+       "f.toml:3: settings_feed.service: is not known here"},
+      {"[control]\nbind = \"127.0.0.1:1\"\n", "f.toml:1: control.name: is missing"},
+      {"[control]\nname = \"c\"\nbind = \"0.0.0.0:1\"\n",
+       "f.toml:3: control.bind: is not a loopback address"},
+      {"[control]\nname = \"c\"\nbind = \"127.0.0.1:1\"\nplaces = 0\n",
+       "f.toml:4: control.places: is out of range"},
       {"[fleet]\nname = \"f\"\nbind = \"localhost:1\"\n",
        "f.toml:3: fleet.bind: 'localhost:1' is not an address"},
       {"[fleet]\nname = \"f\"\nbind = \"10.0.0.4:1\"\n",
--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -102,6 +102,45 @@
   }
 }
 
+// Guards against: a share that came with a change being known to nobody, or outliving its tenant.
+TEST(Admission, ATenantsShareMayComeAndChangeAndGoWhileRequestsPass) {
+  Settings s = BasicSettings();
+  s.over_share_worth = 0.1;
+  Gateway g(s);
+  g.List({Entry(1)});
+  RequestId id = 0;
+  auto flood_is_sent = [&](int tenant) {
+    auto arrive = [&](int of) {
+      RequestArrived e;
+      e.id = ++id;
+      e.tenant = of;
+      e.deadline = g.now + 3000 * kMs;
+      e.work_hint = kMs;
+      e.has_hint = true;
+      g.Do(e);
+    };
+    for (int i = 0; i < 400; ++i) arrive(2);  // a queue of 400 ms, of another tenant's
+    RequestId first = id - 399;
+    for (int i = 0; i < 100; ++i) arrive(tenant);
+    bool sent = g.Sent(id);
+    for (RequestId r = first; r <= id; ++r) {
+      if (g.Sent(r)) g.End(r, Outcome::kServed, 0, kMs);
+    }
+    g.now += 60'000 * kMs;
+    return sent;
+  };
+  EXPECT_TRUE(flood_is_sent(0));  // no tenants: nobody is over a share
+  g.Do(TenantChanged{2, true, {1, 1e6}});
+  g.Do(TenantChanged{0, true, {0.001, 10}});
+  EXPECT_FALSE(flood_is_sent(0));
+  g.Do(TenantChanged{0, true, {1, 1e6}});
+  EXPECT_TRUE(flood_is_sent(0));
+  g.Do(TenantChanged{0, false, {}});
+  EXPECT_FALSE(flood_is_sent(0));
+  g.Do(TenantChanged{-1, true, {1, 1e6}});
+  EXPECT_FALSE(flood_is_sent(-1));
+}
+
 // Guards against: what another gateway's traffic does to servers we hardly see is taken for an empty queue.
 TEST(Estimates, AJamOnServersHardlySeenIsNoticed) {
   Gateway g(BasicSettings());
