Take whole lists above 64 KiB: a fleet of some 400 servers was never learned of

Cause: discovery's answers were read under the limit for bodies that pass through (64 KiB), so a whole list of more than some 400 servers (130 to 170 bytes each) ended as 'malformed answer', again and again.

Change: the parser takes its limit on bodies as an argument; discovery's callers give it 32 MiB (kListLimit). Clients' and workers' bodies keep their 64 KiB.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -25,7 +25,7 @@
     asking = true;
     if (channel.open() && channel.Stale()) channel.Close();
     if (!channel.open()) {
-      parser_ = http::Parser(http::Parser::Kind::kResponse);
+      parser_ = http::Parser(http::Parser::Kind::kResponse, http::kListLimit);
       channel.out() = http::Outbox();
       if (!channel.Connect(discovery_.options_.where)) {
         // Not from within the module's own call: it is told in the next round.
@@ -74,7 +74,7 @@
   }
 
   Discovery& discovery_;
-  http::Parser parser_{http::Parser::Kind::kResponse};
+  http::Parser parser_{http::Parser::Kind::kResponse, http::kListLimit};
 };
 
 Discovery::Discovery(Loop& loop, Log& log, Gateway& gateway, DiscoveryOptions options)
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -145,7 +145,8 @@
 
 // ---- Parser ----
 
-Parser::Parser(Kind kind) : kind_(kind), message_(std::make_unique<Message>()) {}
+Parser::Parser(Kind kind, std::size_t body_limit)
+    : kind_(kind), body_limit_(body_limit), message_(std::make_unique<Message>()) {}
 
 std::span<char> Parser::Room() {
   if (done() || bad()) return {};
@@ -324,7 +325,7 @@
     }
     if (m.status_ == 204 || m.status_ == 304) return Finish(), false;
   }
-  if (length && *length > kBodyLimit) return Bad(413), false;
+  if (length && *length > body_limit_) return Bad(413), false;
   if (chunked) {
     state_ = State::kChunkSize;
   } else if (length) {
@@ -343,7 +344,7 @@
 bool Parser::StepData() {
   std::size_t n = used_ - next_;
   if (state_ != State::kUntilEnd) n = std::min(n, remaining_);
-  if (state_ == State::kUntilEnd && body_end_ - message_->body_.at + n > kBodyLimit) return Bad(413), false;
+  if (state_ == State::kUntilEnd && body_end_ - message_->body_.at + n > body_limit_) return Bad(413), false;
   char* bytes = message_->bytes_.data();
   if (next_ != body_end_) std::memmove(bytes + body_end_, bytes + next_, n);
   next_ += n;
@@ -377,7 +378,7 @@
   } else if (state_ == State::kChunkSize) {
     auto size = ParseNumber(Trim(line.substr(0, line.find(';'))), 16);
     if (!size || HasControl(line, true)) return Bad(400), false;
-    if (*size > kBodyLimit - (body_end_ - message_->body_.at)) return Bad(413), false;
+    if (*size > body_limit_ - (body_end_ - message_->body_.at)) return Bad(413), false;
     remaining_ = static_cast<std::size_t>(*size);
     state_ = remaining_ > 0 ? State::kChunkData : State::kTrailer;
   } else {
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -19,7 +19,9 @@
 namespace dappletiller::http {
 
 constexpr std::size_t kHeadLimit = 16 * 1024;
-constexpr std::size_t kBodyLimit = 64 * 1024;
+constexpr std::size_t kBodyLimit = 64 * 1024;  // of a request or an answer that passes through
+constexpr std::size_t kListLimit =
+    32 * 1024 * 1024;  // of discovery's: a whole list is some 170 bytes a server
 constexpr std::size_t kHeaderLimit = 100;
 
 // One message, in the bytes in which it came: the head is parsed in place and the body decoded in place.
@@ -61,7 +63,7 @@
 class Parser {
  public:
   enum class Kind { kRequest, kResponse };
-  explicit Parser(Kind kind);
+  explicit Parser(Kind kind, std::size_t body_limit = kBodyLimit);
 
   // Where the next bytes go, and how many came. Empty: there is a message to be taken first.
   std::span<char> Room();
@@ -95,6 +97,7 @@
   void Finish();
 
   Kind kind_;
+  std::size_t body_limit_;
   State state_ = State::kHead;
   int error_ = 0;
   std::unique_ptr<Message> message_;
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -709,6 +709,39 @@
   rig.Hears(client, "still there");
 }
 
+// Guards against a proxy that can't read the list of a large fleet: beyond 64 KiB, some 400 servers, it took
+// every whole list for malformed and never learned of anybody.
+TEST_CASE("a whole list of 17,000 servers is taken, and a change after it") {
+  Rig rig(Asking());
+  Host first, second;
+  rig.Know({});
+  std::string list;
+  for (int i = 0; i < 16'999; ++i) {
+    list +=
+        R"({"uid":"away-)" + std::to_string(i) +
+        R"(","endpoint":"127.0.0.2:1","az":"here","model":"plain","pod_group":7,"state":"draining","boot_ms":0},)";
+  }
+  std::string whole = Answer(200, R"({"rev":43,"all":true,"targets":[)" + list + Listed("a", first) + "]}");
+  REQUIRE(whole.size() > http::kBodyLimit);
+  Peer& discovery = Question(rig, "/discovery/hosts?after=41&wait_ms=0");
+  std::string_view left = whole;
+  rig.Until("all is written", [&] {
+    left.remove_prefix(discovery.Try(left));
+    return left.empty();
+  });
+  Peer& watch = Question(rig, "/discovery/hosts?after=43&wait_ms=500");
+  Peer client = rig.Client();
+  client.Say(Check("a1"));
+  rig.Request(first, "a1").Say(Answer(200, "one"));
+  rig.Hears(client, "one");
+  watch.Say(Answer(200, R"({"rev":44,"all":false,"targets":[)" + Listed("a", first, "draining") + "," +
+                            Listed("b", second) + "]}"));
+  Question(rig, "/discovery/hosts?after=44&wait_ms=500");
+  client.Say(Check("a2"));
+  rig.Request(second, "a2").Say(Answer(200, "two"));
+  rig.Hears(client, "two");
+}
+
 // Guards against a reload that leaves the proxy with the old address: it would never hear of a drain again.
 TEST_CASE("discovery moves: the whole list from the new address, and nothing more from the old one") {
   Rig rig(Asking());
