--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -272,7 +272,7 @@
       fresh = Load();
       if (!operator_path_.empty()) file = operators::LoadOperatorFile(operator_path_);
     } catch (const std::exception& e) {  // guards against a bad file ending a proxy that serves
-      log_.Line("reload: the old configuration stays: %s", e.what());
+      log_.Always("reload: the old configuration stays: %s", e.what());
       return;
     }
     bool later = fresh.settings_text != config_.settings_text || !(fresh.listen == config_.listen);
@@ -285,15 +285,15 @@
       AcceptorOptions classes = Accepting(fresh);
       acceptor_.Retune(classes.classes, classes.patience, classes.effects);
     }
-    log_.Line("reload: done, discovery %s %s%s", moved ? "moves to" : "stays at",
-              fresh.discovery_text.c_str(),
-              later ? "; classes are taken, the rest of what changed needs a restart" : "");
+    log_.Always("reload: done, discovery %s %s%s", moved ? "moves to" : "stays at",
+                fresh.discovery_text.c_str(),
+                later ? "; classes are taken, the rest of what changed needs a restart" : "");
     if (!operator_path_.empty()) {
       log_.Shape(file.log_json, Log::ParseLevel(file.log_level));
       bool whole = peers_.has_value() == file.fleet.has_value();
       if (peers_ && file.fleet) whole = peers_->Reload(std::move(*file.fleet));
-      log_.Line("reload: %s read%s", operator_path_.c_str(),
-                whole ? "" : "; the fleet's name, addresses and parts need a restart to change");
+      log_.Always("reload: %s read%s", operator_path_.c_str(),
+                  whole ? "" : "; the fleet's name, addresses and parts need a restart to change");
     }
     // The module goes on with the settings and the listener that it has.
     config_.discovery = fresh.discovery;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -30,6 +30,8 @@
 
   // Where lists are pushed, follows them from now on for as long as it lives; else waits for the module.
   void Start();
+  // Of the list that is held; it is handed on in the same round of the loop.
+  std::uint64_t version() const { return version_; }
   void Watch() override;
   void Fetch() override;
   // Goes on at another address, beginning with the whole list: a version there may mean something else.
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -28,7 +28,8 @@
 
   // At info.
   void Line(const char* format, ...) __attribute__((format(printf, 2, 3)));
-  // At info, and never left out: for lines that come once in a process's life and that others wait for.
+  // At info, and never left out: for lines that others wait for and that come once in a process's life, or as
+  // the answer to an operator's signal.
   void Always(const char* format, ...) __attribute__((format(printf, 2, 3)));
   void At(Level level, const char* format, ...) __attribute__((format(printf, 3, 4)));
   // "name: text" a line, or one JSON object a line: time (UTC), level, name, text. Lines below `least` are
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -57,6 +57,10 @@
   // The view as JSON, with the changes numbered above `after`.
   std::string Json(std::uint64_t after) const;
   const membership::View& view() const { return view_; }
+  struct Traffic {  // since the start: datagrams and streams
+    std::uint64_t bytes_in = 0, bytes_out = 0, datagrams_in = 0, datagrams_out = 0;
+  };
+  Traffic traffic() const { return {bytes_in_, bytes_out_, datagrams_in_, datagrams_out_}; }
 
  private:
   class Stream;
--- /dev/null
+++ b/src/rig/hollow.cpp
@@ -0,0 +1,186 @@
+#include "rig/hollow.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <utility>
+
+#include "limits/watch_times.hpp"
+
+namespace dappletiller::rig {
+namespace {
+
+constexpr Micros kDial = 1'000;            // until a server that isn't there has refused
+constexpr Micros kTurnsAway = 500;         // until one that drains has said so
+constexpr Micros kPatience = 5'000'000;    // of a client
+constexpr Micros kTimeTolerance = 50'000;  // the pages' own, for real clocks
+
+std::uint64_t VersionOf(const std::string& name) {
+  return std::strtoull(name.c_str() + std::min(name.size(), FileAndSignal::NameOf(0).size() - 1), nullptr,
+                       10);
+}
+
+}  // namespace
+
+// ---- How settings reach a proxy ----
+
+Config FileAndSignal::Read() {
+  std::ifstream file(path_, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) throw ConfigError(path_ + " cannot be read");
+  std::string all = std::move(text).str();
+  bytes_ += all.size();
+  return ParseConfig(all);
+}
+
+Config FileAndSignal::First() {
+  Config config = Read();
+  settings_text_ = config.settings_text;
+  version_ = VersionOf(config.name);
+  return config;
+}
+
+void FileAndSignal::Signal() {
+  try {
+    Config fresh = Read();
+    if (fresh.settings_text != settings_text_) settings_text_ = std::move(fresh.settings_text);
+    version_ = VersionOf(fresh.name);
+  } catch (const ConfigError&) {  // as the program: a bad file changes nothing
+    ++refused_;
+  }
+}
+
+// ---- The hollow proxy ----
+
+// Kept until its proxy goes, also when it is answered: a second answer is to be seen, not to be a crash.
+struct Hollow::Request final : Caller {
+  explicit Request(Hollow& h) : hollow(h) {}
+  void Served(PayloadRef) override { Count(&hollow.world_.served); }
+  void Overloaded(Micros) override { Count(&hollow.world_.refused); }
+  void Failed() override { Count(&hollow.world_.failed); }
+  void Count(std::uint64_t* what) {
+    if (std::exchange(answered, true)) {
+      ++hollow.world_.twice;
+      return;
+    }
+    ++*what;
+    --hollow.open_;
+  }
+  Hollow& hollow;
+  bool answered = false;
+};
+
+Config Hollow::Placed(Config config, const HollowOptions& options) {
+  config.name = options.name;
+  config.settings.zone = options.zone;
+  config.settings.seed = options.seed;
+  // Each starts without a list: what is known at a start is discovery's.
+  config.known = {};
+  config.known.kind = WorkerList::Kind::kCached;
+  return config;
+}
+
+Hollow::Hollow(Loop& loop, Log& log, HollowWorld& world, SettingsWay& way, HollowOptions options)
+    : loop_(loop),
+      world_(world),
+      options_(std::move(options)),
+      config_(Placed(way.First(), options_)),
+      gateway_(loop, log, config_.settings),
+      discovery_(loop, log, gateway_,
+                 {options_.discovery, "discovery", config_.names, 0, config_.settings.ask_within,
+                  !config_.settings.list_on_request}),
+      random_(options_.seed),
+      next_(loop) {
+  gateway_.Connect(*this, discovery_);
+  if (options_.fleet) {
+    auto zone = static_cast<std::size_t>(options_.zone);
+    peers_.emplace(loop, log, *options_.fleet, options_.name,
+                   zone < config_.names.zones.size() ? config_.names.zones[zone] : std::string(),
+                   static_cast<PartSink&>(*this));
+  }
+  gateway_.Learn(config_.known);
+  discovery_.Start();
+  if (peers_) peers_->Start();
+  Next();
+}
+
+Hollow::~Hollow() {
+  for (const auto& [key, timer] : out_) loop_.Cancel(timer);
+  world_.cut += open_;
+}
+
+void Hollow::Next() {
+  if (options_.requests <= 0) return;
+  double seconds = std::exponential_distribution<double>(options_.requests)(random_);
+  next_.Set(static_cast<Micros>(seconds * 1e6), [this] {
+    Next();
+    Arrive();
+  });
+}
+
+void Hollow::Arrive() {
+  if (discovery_.version() == 0) return;  // no list yet: a front sends nobody here before
+  CallId id = gateway_.NewCall();
+  auto& request = *(requests_[id] = std::make_unique<Request>(*this));
+  ++world_.arrived;
+  ++open_;
+  Arrival arrival;
+  arrival.call_class = static_cast<int>(random_(static_cast<std::uint32_t>(config_.settings.classes.size())));
+  if (!config_.settings.tenants.empty())
+    arrival.tenant = static_cast<int>(random_(static_cast<std::uint32_t>(config_.settings.tenants.size())));
+  arrival.deadline = loop_.Now() + kPatience;
+  arrival.work_hint = world_.work;
+  gateway_.Arrive(id, std::move(arrival), request);
+}
+
+void Hollow::Start(const Delegation& delegation) {
+  Micros now = loop_.Now();
+  ++world_.sent;
+  Place& place = places_[delegation.worker];
+  const auto& server = world_.servers[static_cast<std::size_t>(place.server)];
+  Micros window = world_.drain_window + kTimeTolerance;
+  if (place.told != 0 && now > place.told + window) ++world_.after_told;
+  if (server.drained != 0 && now > server.drained + limits::WatchTimes::kToldAfter + window)
+    ++world_.after_had;
+  bool drains = server.drained != 0;
+  Micros takes = !server.runs ? kDial : drains ? kTurnsAway : world_.work;
+  DelegationEnd end = !server.runs ? DelegationEnd::kUnreachable
+                      : drains     ? DelegationEnd::kTurnedAway
+                                   : DelegationEnd::kAnswered;
+  DelegationKey key = delegation.key;
+  out_[key] = loop_.At(now + takes, [this, key, end] {
+    out_.erase(key);
+    gateway_.Ended(key, end, nullptr);
+  });
+}
+
+void Hollow::GiveUp(DelegationKey key) {
+  auto it = out_.find(key);
+  if (it == out_.end()) return;
+  loop_.Cancel(it->second);
+  out_.erase(it);
+}
+
+void Hollow::Locate(WorkerId worker, const Endpoint& endpoint) {
+  touched_ = true;
+  if (places_.size() <= worker) places_.resize(worker + 1);
+  auto it = world_.by_port.find(endpoint.port);
+  // Told again that it drains, it was told the first time; told that it is up, it is.
+  places_[worker] = {it == world_.by_port.end() ? 0 : it->second, 0, places_[worker].told};
+}
+
+void Hollow::Release(WorkerId worker) {
+  touched_ = true;
+  if (worker >= places_.size()) return;
+  Place& place = places_[worker];
+  place.told = place.told_was != 0 ? place.told_was : loop_.Now();
+}
+
+void Hollow::Forget(WorkerId worker) {
+  touched_ = true;
+  if (worker < places_.size()) places_[worker].told = loop_.Now();
+}
+
+}  // namespace dappletiller::rig
--- a/src/rig/standins.cpp
+++ b/src/rig/standins.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <cstdio>
 #include <random>
+#include <system_error>
 
 namespace dappletiller::rig {
 namespace {
@@ -37,6 +38,7 @@
     if (parser_.bad()) return server_.Drop(id_);
     if (busy || !parser_.done()) return;
     busy = true;
+    ++server_.taken_;
     server_.Take(id_, parser_.Take());
   }
   void OnGone() override { server_.Drop(id_); }
@@ -44,6 +46,7 @@
     busy = false;
     if (parser_.done()) {
       busy = true;
+      ++server_.taken_;
       server_.Take(id_, parser_.Take());
     } else {
       channel.Resume();
@@ -65,13 +68,18 @@
   if (listener_) loop_.Forget(token_, listener_.get());
 }
 
-Endpoint Server::Listen() {
-  std::uint16_t port = 0;
-  listener_ = ListenOn({0x7f000001, 0}, 1024, "stand-in", &port);
+Endpoint Server::Listen(std::uint16_t port) {
+  listener_ = ListenOn({0x7f000001, port}, 1024, "stand-in", &port);
   token_ = loop_.Watch(listener_.get(), this);
   return {0x7f000001, port};
 }
 
+void Server::Shut() {
+  if (listener_) loop_.Forget(token_, listener_.get());
+  listener_.Reset();
+  DropAll();
+}
+
 void Server::OnReady(std::uint32_t) {
   for (;;) {
     sockaddr_in from{};
@@ -110,6 +118,7 @@
 void Server::Answer(ConnId conn, std::string text) {
   auto it = conns_.find(conn);
   if (it == conns_.end()) return;
+  bytes_out_ += text.size();
   it->second->channel.out().AddOwned(std::move(text));
   it->second->channel.Flush();
   it = conns_.find(conn);
@@ -134,11 +143,32 @@
   if (sum <= cold_.tip_multiple * Capacity() * static_cast<double>(cold_.fall)) return;
   ledger_.tips[name_].push_back(now);
   down_until_ = now + kDown;
+  ForgetAll();
+  DropAll();
+}
+
+void StandInWorker::ForgetAll() {
   given_.clear();
   queue_.clear();
   running_ = 0;
   ++epoch_;
-  DropAll();
+}
+
+void StandInWorker::Die() {
+  ForgetAll();
+  Shut();
+}
+
+bool StandInWorker::Rise(std::uint16_t port) {
+  try {
+    Listen(port);
+  } catch (const std::system_error&) {  // somebody's own connection has the port just now
+    return false;
+  }
+  draining_ = false;
+  down_until_ = 0;
+  StartCold();
+  return true;
 }
 
 void StandInWorker::Take(ConnId conn, http::MessageRef request) {
@@ -192,7 +222,7 @@
   // Those who watch hear at once what they missed.
   for (auto it = watchers_.begin(); it != watchers_.end();) {
     auto [conn, watcher] = *it++;
-    if (watcher.who == who) Tell(conn, who);
+    if (watcher.who == who) Tell(conn, who, watcher.after);
   }
 }
 
@@ -200,11 +230,11 @@
   ++version_;
   for (auto it = watchers_.begin(); it != watchers_.end();) {
     auto [conn, watcher] = *it++;
-    if (modes_[watcher.who] == Mode::kFine) Tell(conn, watcher.who);
+    if (modes_[watcher.who] == Mode::kFine) Tell(conn, watcher.who, watcher.after);
   }
 }
 
-void StandInDiscovery::Tell(ConnId conn, const std::string& who) {
+void StandInDiscovery::Tell(ConnId conn, const std::string& who, std::uint64_t after) {
   auto it = watchers_.find(conn);
   if (it != watchers_.end()) {
     loop_.Cancel(it->second.timer);
@@ -212,6 +242,12 @@
   }
   bool stale = modes_[who] == Mode::kStale;
   std::uint64_t version = stale ? stale_[who].first : version_;
+  if (changes_ && !stale && after != 0) {
+    if (auto changes = changes_(after)) {
+      return Answer(conn, Response(200, "{\"rev\":" + std::to_string(version) +
+                                            ",\"all\":false,\"targets\":[" + *changes + "]}"));
+    }
+  }
   std::string body = "{\"rev\":" + std::to_string(version) + ",\"all\":true,\"targets\":[" +
                      (stale ? stale_[who].second : list_(who)) + "]}";
   Answer(conn, Response(200, body));
@@ -236,8 +272,12 @@
   auto after = static_cast<std::uint64_t>(NumberIn(target, "after="));
   Micros wait = std::min<Micros>(NumberIn(target, "wait_ms="), 60'000) * 1000;
   std::uint64_t version = mode == Mode::kStale ? stale_[who].first : version_;
-  if (wait == 0 || after < version) return Tell(conn, who);
-  Watcher watcher{who, {0, 0}};
+  if (holds_ && after != 0) holds_(after);
+  if (after < version || (wait == 0 && (!changes_ || after == 0))) return Tell(conn, who, after);
+  if (wait == 0)
+    return Answer(conn,
+                  Response(200, "{\"rev\":" + std::to_string(version) + ",\"all\":false,\"targets\":[]}"));
+  Watcher watcher{who, after, {0, 0}};
   watcher.timer = loop_.At(loop_.Now() + wait, [this, conn, who] {
     watchers_.erase(conn);
     Answer(conn, Response(200, "{\"rev\":" + std::to_string(version_) + ",\"all\":false,\"targets\":[]}"));
@@ -361,7 +401,7 @@
   std::function<void(int, std::string)> done;
   Channel channel;
   Timer timer;
-  http::Parser parser{http::Parser::Kind::kResponse};
+  http::Parser parser{http::Parser::Kind::kResponse, http::kListLimit};
 };
 
 Questions::Questions(Loop& loop) : loop_(loop) {}
--- a/src/rig/standins.hpp
+++ b/src/rig/standins.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <pcg_random.hpp>
 #include <string>
 #include <vector>
@@ -27,8 +28,13 @@
   using ConnId = std::uint64_t;
   explicit Server(Loop& loop);
   virtual ~Server();
-  Endpoint Listen();  // throws std::system_error
+  Endpoint Listen(std::uint16_t port = 0);  // 0: the kernel's choice; throws std::system_error
+  // Nobody is there any more, as after a kill: what is open ends, what comes is refused.
+  void Shut();
   std::size_t connections() const { return conns_.size(); }
+  // Requests taken, and bytes of the answers to them.
+  std::uint64_t taken() const { return taken_; }
+  std::uint64_t bytes_out() const { return bytes_out_; }
 
  protected:
   virtual void Take(ConnId conn, http::MessageRef request) = 0;
@@ -48,6 +54,7 @@
   Fd listener_;
   Loop::Token token_ = 0;
   ConnId ids_ = 0;
+  std::uint64_t taken_ = 0, bytes_out_ = 0;
   std::map<ConnId, std::unique_ptr<Conn>> conns_;
 };
 
@@ -76,6 +83,9 @@
   // From now on it counts as just started.
   void StartCold() { started_ = loop_.Now(); }
   void Drain() { draining_ = true; }
+  // Its process ends with all that it holds; a new one at the same port is cold. False: the port is taken.
+  void Die();
+  bool Rise(std::uint16_t port);
   Micros started() const { return started_; }
   bool draining() const { return draining_; }
   const std::string& name() const { return name_; }
@@ -90,6 +100,7 @@
   void Run(Waiting one);
   double Capacity() const;  // work it bears a microsecond
   void TipIfTooMuch(Micros work);
+  void ForgetAll();
 
   Ledger& ledger_;
   std::string name_;
@@ -105,13 +116,22 @@
   std::uint64_t epoch_ = 0;  // what ran before a fall answers nobody
 };
 
-// Discovery: one list with one version for all; each process sees the workers at its own addresses.
+// Discovery: one list with one version for all; each process sees the workers at its own addresses. It
+// answers with whole lists, and with the changed entries only where it is given a way to tell them.
 class StandInDiscovery final : public Server {
  public:
   using ListFor = std::function<std::string(const std::string& who)>;  // the targets, as JSON
   enum class Mode { kFine, kSilent, kDown, kStale };
   StandInDiscovery(Loop& loop, std::function<std::string(std::uint16_t)> sender, ListFor list)
       : Server(loop), sender_(std::move(sender)), list_(std::move(list)) {}
+  // The entries changed since a version, as JSON; none: too long ago, only the whole list will do.
+  using ChangesSince = std::function<std::optional<std::string>(std::uint64_t after)>;
+  // Told of each call that names the version its caller holds: that one, and all before, it has taken.
+  using Holds = std::function<void(std::uint64_t version)>;
+  void Tell(ChangesSince changes, Holds holds) {
+    changes_ = std::move(changes);
+    holds_ = std::move(holds);
+  }
   void Changed();  // the list has a new version: all who watch are told
   void Set(const std::string& who, Mode mode);
   std::uint64_t version() const { return version_; }
@@ -120,14 +140,17 @@
  private:
   struct Watcher {
     std::string who;
+    std::uint64_t after = 0;
     Loop::TimerKey timer{0, 0};
   };
   void Take(ConnId conn, http::MessageRef request) override;
   void Gone(ConnId conn) override;
-  void Tell(ConnId conn, const std::string& who);
+  void Tell(ConnId conn, const std::string& who, std::uint64_t after);
 
   std::function<std::string(std::uint16_t)> sender_;
   ListFor list_;
+  ChangesSince changes_;
+  Holds holds_;
   std::uint64_t version_ = 1;
   std::uint64_t calls_ = 0;
   std::map<ConnId, Watcher> watchers_;
@@ -164,7 +187,8 @@
   std::map<std::uint64_t, std::unique_ptr<Call>> calls_;
 };
 
-// GETs and PUTs to consoles. One that is open when this goes, goes with it, unanswered.
+// GETs and PUTs to consoles and to the rig's own processes. One that is open when this goes, goes with it,
+// unanswered.
 class Questions {
  public:
   explicit Questions(Loop& loop);
