--- a/src/rig/scale.cpp
+++ b/src/rig/scale.cpp
@@ -691,10 +691,11 @@
       all = PlayOne(Resized(script, sweep.key, size), options, out,
                     "verdict-" + sweep.key + "-" + std::to_string(size) + ".json", &figures) &&
             all;
-      if (figures.empty()) return 1;
+      if (figures.empty()) break;  // it did not come to its end: what the others gave is told all the same
       rows.push_back(figures);
       sizes.push_back(size);
     }
+    if (rows.empty()) return 1;
     std::ostringstream dat;
     dat << "# dappletiller-rig scale " << script.name << " --seed " << options.seed << ", over " << sweep.key
         << "\n";
@@ -705,7 +706,7 @@
       dat << "\n";
     }
     std::printf("%-28s %12s %12s %10s %10s   over %s %d to %d\n", "figure", "at none", "slope", "rms",
-                "worst", sweep.key.c_str(), sweep.sizes.front(), sweep.sizes.back());
+                "worst", sweep.key.c_str(), sweep.sizes.front(), static_cast<int>(sizes.back()));
     for (std::size_t i = 0; i < rows[0].size(); ++i) {
       std::vector<double> values;
       for (const Figures& row : rows) values.push_back(row[i].second);
--- a/src/rig/scale_roles.cpp
+++ b/src/rig/scale_roles.cpp
@@ -350,6 +350,7 @@
     for (std::size_t i = 0; i < ports.size(); ++i) world_.by_port[ports[i]] = static_cast<int>(i);
     world_.work = static_cast<Micros>(script_.work_ms * 1000);
     world_.drain_window = script_.drain_window;
+    world_.reachable.resize(static_cast<std::size_t>(script_.regions), 0);
     discovery_ = Ports(options.folder / "discovery");
     if (script_.view) {
       std::string error;
@@ -389,6 +390,7 @@
     HollowOptions options;
     options.name = "h" + std::to_string(proxy);
     options.zone = script_.ZoneOfProxy(proxy);
+    options.region = script_.RegionOf(options.zone);
     options.seed = options_.seed * 1'000'003 + static_cast<std::uint64_t>(proxy) * 7919 + 1;
     options.discovery = {kLoopback, discovery_[static_cast<std::size_t>(script_.RegionOf(options.zone))]};
     options.requests = script_.hollow_requests;
@@ -449,6 +451,11 @@
         if (change.what == What::kUp) server = {};
       });
     }
+    for (const Parting& parting : plan_.partings) {
+      Micros& since = world_.reachable[static_cast<std::size_t>(parting.region)];
+      Role::At(parting.at, [&since] { since = HollowWorld::kNever; });
+      Role::At(parting.until, [this, &since] { since = loop_.Now(); });
+    }
     for (const ProxyChange& change : plan_.proxies) {
       if (change.proxy < first_ || change.proxy >= last_) continue;
       Role::At(change.at, [this, &change] {
