Play settings by the feed in a scale run, beside the same run by file and signal

settings = "feed" in [scale]: two control machines of the program, hollow proxies by the program's own follower and driver, real ones by their operator file.

--- a/src/net/settings_feed.cpp
+++ b/src/net/settings_feed.cpp
@@ -133,9 +133,9 @@
   if (!changes.empty() || !(follower_.held().head() == before)) sink_.SettingsChanged(changes);
   if (follower_.held().head().serial != told_serial_) {
     told_serial_ = follower_.held().head().serial;
-    log_.Line("settings feed: serial %llu in force from %s, %zu entries changed, %zu held",
-              static_cast<unsigned long long>(told_serial_), connected_to_.c_str(),
-              std::exchange(changed_, 0), follower_.held().size());
+    log_.Always("settings feed: serial %llu in force from %s, %zu entries changed, %zu held",
+                static_cast<unsigned long long>(told_serial_), connected_to_.c_str(),
+                std::exchange(changed_, 0), follower_.held().size());
   }
   Later();
 }
--- a/src/rig/hollow.cpp
+++ b/src/rig/hollow.cpp
@@ -7,6 +7,8 @@
 #include <sstream>
 #include <utility>
 
+#include "feed/in_force.hpp"
+#include "feed/values.hpp"
 #include "limits/watch_times.hpp"
 
 namespace dappletiller::rig {
@@ -52,6 +54,35 @@
   }
 }
 
+ByFeed::ByFeed(Loop& loop, Log& log, std::string path, feed::FollowerOptions options,
+               std::function<void(std::uint64_t)> taken)
+    : start_(std::move(path)),
+      follower_(options),
+      feed_(loop, log, follower_, options.self, *this),
+      taken_(std::move(taken)) {}
+
+void ByFeed::Serve(Gateway* gateway) {
+  gateway_ = gateway;
+  if (gateway_ != nullptr) return feed_.Start();
+  // The proxy has ended: nothing is asked any more.
+  follower_.SetMachines(0, {}, {});
+  feed_.Renew();
+}
+
+void ByFeed::SettingsChanged(const std::vector<feed::Change>& changes) {
+  if (gateway_ == nullptr) return;
+  for (const feed::Effect& effect : feed::InForce(follower_.held(), follower_.scope(), changes)) {
+    std::string why;
+    auto tenant = feed::ReadTenant(effect.value.value_or(""), &why);
+    if (effect.value && !tenant) ++refused_;
+    int place = places_.try_emplace(effect.name, static_cast<int>(places_.size())).first->second;
+    sandstand::TenantSettings share;
+    if (tenant) share = {tenant->portion, tenant->quota_per_s};
+    gateway_->SetTenant(place, tenant.has_value(), share);
+  }
+  if (version() != told_) taken_(told_ = version());
+}
+
 // ---- The hollow proxy ----
 
 // Kept until its proxy goes, also when it is answered: a second answer is to be seen, not to be a crash.
@@ -85,6 +116,7 @@
 Hollow::Hollow(Loop& loop, Log& log, HollowWorld& world, SettingsWay& way, HollowOptions options)
     : loop_(loop),
       world_(world),
+      way_(way),
       options_(std::move(options)),
       config_(Placed(way.First(), options_)),
       gateway_(loop, log, config_.settings),
@@ -103,10 +135,12 @@
   gateway_.Learn(config_.known);
   discovery_.Start();
   if (peers_) peers_->Start();
+  way_.Serve(&gateway_);
   Next();
 }
 
 Hollow::~Hollow() {
+  way_.Serve(nullptr);
   for (const auto& [key, timer] : out_) loop_.Cancel(timer);
   world_.cut += open_;
 }
--- a/src/rig/hollow.hpp
+++ b/src/rig/hollow.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <pcg_random.hpp>
@@ -24,6 +25,7 @@
 #include "net/log.hpp"
 #include "net/loop.hpp"
 #include "net/peers.hpp"
+#include "net/settings_feed.hpp"
 
 namespace dappletiller::rig {
 
@@ -36,6 +38,8 @@
   virtual Config First() = 0;
   // There is something new: an operator's signal.
   virtual void Signal() = 0;
+  // The proxy's gateway, from its start to its end (null: it ends).
+  virtual void Serve(Gateway*) {}
   virtual std::uint64_t version() const = 0;  // of the last that was taken; 0: none
   virtual std::uint64_t bytes() const = 0;    // read up to now
   virtual std::uint64_t refused() const = 0;  // versions that could not be taken
@@ -61,6 +65,34 @@
   std::uint64_t version_ = 0, bytes_ = 0, refused_ = 0;
 };
 
+// Deltas by version, from control machines (docs/feed.md): the program's own follower and driver, with the
+// tenants of one service. What the proxy starts with is a file that names no tenants.
+class ByFeed final : public SettingsWay, private SettingsSink {
+ public:
+  // `taken`: a version is in force. Loop and log outlive it.
+  ByFeed(Loop& loop, Log& log, std::string path, feed::FollowerOptions options,
+         std::function<void(std::uint64_t version)> taken);
+  Config First() override { return start_.First(); }
+  void Signal() override {}
+  void Serve(Gateway* gateway) override;
+  std::uint64_t version() const override { return follower_.held().head().serial; }
+  std::uint64_t bytes() const override {
+    return start_.bytes() + feed_.tally().bytes_in + feed_.tally().bytes_out;
+  }
+  std::uint64_t refused() const override { return refused_; }
+
+ private:
+  void SettingsChanged(const std::vector<feed::Change>& changes) override;
+
+  FileAndSignal start_;
+  feed::Follower follower_;
+  SettingsFeed feed_;
+  std::function<void(std::uint64_t)> taken_;
+  Gateway* gateway_ = nullptr;
+  std::unordered_map<std::string, int> places_;  // of tenants
+  std::uint64_t told_ = 0, refused_ = 0;
+};
+
 // What all hollow proxies of a process share: the servers as the plan has them, and what was counted.
 struct HollowWorld {
   struct Server {
@@ -129,6 +161,7 @@
 
   Loop& loop_;
   HollowWorld& world_;
+  SettingsWay& way_;
   HollowOptions options_;
   Config config_;
   Gateway gateway_;
--- a/src/rig/scale.cpp
+++ b/src/rig/scale.cpp
@@ -84,7 +84,7 @@
 {"name":"check","aim":2000000,"giveUp":5000000,"effect":"free"},
 {"name":"pay","aim":2000000,"giveUp":5000000,"effect":"single_shot"},
 {"name":"open","aim":2000000,"giveUp":5000000,"effect":"guarded","group":"all","window":10000000}],"tenants":[)";
-  for (int t = 0; t < script.tenants; ++t) {
+  for (int t = 0; t < (script.feed ? 0 : script.tenants); ++t) {
     // The first one's quota is what a change of settings changes.
     text << (t == 0 ? "" : ",") << "{\"name\":\"tenant-" << t << "\",\"portion\":" << 1.0 / script.tenants
          << ",\"quotaRps\":" << 1000 + (t == 0 ? settings_version : 0) << "}";
@@ -173,11 +173,48 @@
                      settings_version_);
 }
 
+// The same settings as a file of the feed's origin.
+std::string ScaleRun::OriginText() const {
+  std::ostringstream text;
+  text << "{\"serial\": " << settings_version_ << "}\n";
+  for (int t = 0; t < script_.tenants; ++t) {
+    text << R"({"kind":"tenant","service":")" << script_.ServiceOf(t) << R"(","name":"tenant-)" << t
+         << R"(","value":{"portion":)" << 1.0 / script_.tenants
+         << ",\"quotaRps\":" << 1000 + (t == 0 ? settings_version_ : 0) << "}}\n";
+  }
+  return text.str();
+}
+
+bool ScaleRun::StartControls() {
+  Write(options_.folder / "origin.jsonl", OriginText());
+  for (int c = 0; c < 2; ++c) {
+    std::string name = "c" + std::to_string(c);
+    std::string others;
+    for (const std::string& at : control_at_) others += (others.empty() ? "\"" : ", \"") + at + "\"";
+    Write(options_.folder / (name + ".toml"), "[control]\nname = \"" + name +
+                                                  "\"\nbind = \"127.0.0.1:0\"\nothers = [" + others + "]\n" +
+                                                  (c == 0 ? "origin = \"origin.jsonl\"\n" : ""));
+    controls_.push_back(std::make_unique<Process>(loop_, [this](const std::string& line) {
+      if (long port = NumberAfter(line, "control on port "))
+        control_at_.push_back("127.0.0.1:" + std::to_string(port));
+      if (line.find("cannot start") != std::string::npos) Fail("a control machine: " + line);
+    }));
+    controls_.back()->Start(
+        {options_.program, "control", "--operator", (options_.folder / (name + ".toml")).string()},
+        {"TMPDIR=" + options_.folder.string()});
+    if (!Until("a control machine listens", kStartLimit,
+               [&] { return control_at_.size() == controls_.size(); }))
+      return false;
+  }
+  Write(options_.folder / "controls", control_at_[0] + "\n" + control_at_[1] + "\n");
+  return true;
+}
+
 void ScaleRun::StartReal(Real& real) {
   if (real.process->running()) return;  // it still leaves: again when it has ended
   Write(real.folder / "config.json", Config(real));
   std::vector<std::string> words = {options_.program};
-  if (script_.view)
+  if (script_.view || script_.feed)
     words.insert(words.end(), {"serve", "--operator", (real.folder / "operator.toml").string()});
   real.process->Start(words, {"BALANCER_CONFIG=" + (real.folder / "config.json").string(),
                               "TMPDIR=" + (real.folder / "tmp").string(), "BALANCER_NAME=" + real.name});
@@ -188,10 +225,18 @@
   real.sent += NumberAfter(line, "; sent ");
   real.dialled += NumberAfter(line, ", dialled ");
   if (line.find("started as ") != std::string::npos) {
-    real.settings = settings_version_;  // a later change's signal waits until it runs
+    if (!script_.feed) real.settings = settings_version_;  // a later change's signal waits until it runs
     real.listen = {kLoopback, static_cast<std::uint16_t>(NumberAfter(line, " on port "))};
     if (began_ != 0 && Since() < script_.length - kQuiet) real.clients->Start(real.listen);
   }
+  if (long serial = NumberAfter(line, "settings feed: serial ");
+      serial > 0 && line.find(" in force from ") != std::string::npos) {
+    // One that starts takes what is in force long since.
+    bool later = static_cast<std::uint64_t>(serial) > real.settings && real.settings != 0;
+    real.settings = static_cast<std::uint64_t>(serial);
+    if (later && real.settings < settings_heard_.size())
+      settings_heard_[real.settings].push_back(loop_.Now());
+  }
   if (line.find("reload: done") != std::string::npos) {
     real.settings = settings_version_;
     settings_heard_.back().push_back(loop_.Now());
@@ -225,6 +270,7 @@
                                  std::filesystem::perms::owner_read | std::filesystem::perms::owner_write);
   }
   Write(options_.folder / "settings.json", HollowSettings());
+  if (script_.feed && !StartControls()) return false;
   for (int k = 0; k < script_.ServerProcesses(); ++k) StartChild("servers", k);
   if (!up("the plan servers listen")) return false;
   StartChild("discovery", 0);
@@ -250,15 +296,21 @@
     real.discovery = {kLoopback, sources.at(static_cast<std::size_t>(script_.regions + r))};
     real.wanted = true;
     std::filesystem::create_directories(real.folder / "tmp");
+    std::string operator_file;
+    if (script_.feed) {
+      operator_file = "[settings_feed]\nmachines = [\"" + control_at_[0] + "\", \"" + control_at_[1] +
+                      "\"]\nservices = \"" + script_.ServiceOf(real.proxy) + "\"\n";
+    }
     if (script_.view) {
       std::string keepers;
       for (int k = 0; k < std::min(3, script_.hollow); ++k)
         keepers += (k == 0 ? "\"h" : ", \"h") + std::to_string(k) + "\"";
-      Write(real.folder / "operator.toml",
-            "[fleet]\nname = \"scale\"\nbind = \"127.0.0.1:0\"\nkey_file = \"../key\"\n"
-            "seeds = [" +
-                seeds + "]\n[fleet.parts]\nkeepers = [" + keepers + "]\n");
+      operator_file +=
+          "[fleet]\nname = \"scale\"\nbind = \"127.0.0.1:0\"\nkey_file = \"../key\"\n"
+          "seeds = [" +
+          seeds + "]\n[fleet.parts]\nkeepers = [" + keepers + "]\n";
     }
+    if (!operator_file.empty()) Write(real.folder / "operator.toml", operator_file);
     real.process =
         std::make_unique<Process>(loop_, [this, &real](const std::string& line) { Heard(real, line); });
     real.clients = std::make_unique<Clients>(loop_, ledger_, real.name, script_.requests, script_.work_ms,
@@ -306,6 +358,13 @@
 
 void ScaleRun::NewSettings() {
   ++settings_version_;
+  if (script_.feed) {
+    Write(options_.folder / "origin.jsonl", OriginText());
+    settings_at_.push_back(loop_.Now());
+    settings_heard_.emplace_back();
+    controls_[0]->Signal(SIGHUP);
+    return;
+  }
   Write(options_.folder / "settings.json", HollowSettings());
   for (auto& real : reals_) Write(real->folder / "config.json", Config(*real));
   settings_at_.push_back(loop_.Now());
@@ -353,6 +412,14 @@
     if (real->wanted && why_.empty() && code != 0) Fail(real->name + " ended with " + std::to_string(code));
     if (real->wanted) StartReal(*real);
   }
+  long controls = 0;
+  for (auto& control : controls_) {
+    controls += control->ResidentKb();
+    int code = 0;
+    if (control->Ended(&code)) Fail("a control machine ended with " + std::to_string(code));
+  }
+  kb += controls;
+  controls_kb_ = std::max(controls_kb_, controls);
   most_mb_ = std::max(most_mb_, kb / 1024);
   if (most_mb_ > script_.most_mb)
     Fail("memory: " + std::to_string(most_mb_) +
@@ -387,6 +454,8 @@
     loop_.At(began_ + event.at, [this, &event] { Say(event.text); });
   loop_.At(began_, [this] {
     for (auto& child : children_) child->cpu_before = child->process->CpuSeconds();
+    controls_cpu_ = 0;
+    for (auto& control : controls_) controls_cpu_ -= control->CpuSeconds();
     for (auto& real : reals_) {
       real->cpu_before = real->process->CpuSeconds();
       real->cpu = 0;
@@ -448,6 +517,7 @@
   std::uint64_t again = 0, at_servers = 0, tipped = 0;
   std::vector<std::pair<int, Micros>> after_drain;
   Json::Value discovery;
+  for (auto& control : controls_) controls_cpu_ += control->CpuSeconds();
   double hollow_cpu = 0, servers_cpu = 0, discovery_cpu = 0;
   long hollow_kb = 0, servers_kb = 0, discovery_kb = 0;
   for (const auto& child : children_) {
@@ -611,6 +681,8 @@
               {"discovery_whole_lists", discovery["wholes"].asDouble()},
               {"whole_list_bytes", discovery["whole_bytes"].asDouble()},
               {"servers_cpu_percent", 100 * servers_cpu / span},
+              {"controls_cpu_percent", 100 * controls_cpu_ / span},
+              {"controls_mb", static_cast<double>(controls_kb_) / 1024},
               {"servers_rss_mb", static_cast<double>(servers_kb) / 1024},
               {"servers_tipped", static_cast<double>(tipped)},
               {"list_changes", static_cast<double>(versions.size() - 1)},
--- a/src/rig/scale.hpp
+++ b/src/rig/scale.hpp
@@ -96,6 +96,8 @@
   void Judge();
   std::string Config(const Real& real) const;
   std::string HollowSettings() const;
+  std::string OriginText() const;
+  bool StartControls();
   Micros Since() const { return began_ == 0 ? 0 : loop_.Now() - began_; }
 
   const ScaleScript script_;
@@ -105,6 +107,10 @@
   Ledger ledger_;
   std::vector<std::unique_ptr<Child>> children_;
   std::vector<std::unique_ptr<Real>> reals_;
+  std::vector<std::unique_ptr<Process>> controls_;  // of the settings feed; the first is the origin
+  std::vector<std::string> control_at_;
+  double controls_cpu_ = 0;  // seconds in the churn
+  long controls_kb_ = 0;     // most, all of them
   Questions questions_{loop_};
   Fd signals_;
   Loop::Token signals_token_ = 0;
--- a/src/rig/scale_roles.cpp
+++ b/src/rig/scale_roles.cpp
@@ -405,7 +405,7 @@
       options.fleet = std::move(fleet);
     }
     if (one.way) settings_bytes_ += one.way->bytes();
-    one.way = std::make_unique<FileAndSignal>(options_.folder / "settings.json");
+    one.way = Way(options);
     one.holds = 0;
     one.fresh = true;
     one.started = loop_.Now();
@@ -422,6 +422,21 @@
     }
   }
 
+  std::unique_ptr<SettingsWay> Way(const HollowOptions& options) {
+    std::string path = options_.folder / "settings.json";
+    if (!script_.feed) return std::make_unique<FileAndSignal>(path);
+    feed::FollowerOptions following;
+    following.self = options.name;
+    following.near = Lines(options_.folder / "controls");
+    following.seed = options.seed;
+    following.scope.services = {script_.ServiceOf(std::atoi(options.name.c_str() + 1))};
+    return std::make_unique<ByFeed>(loop_, log_, path, std::move(following), [this](std::uint64_t version) {
+      auto& [n, last] = settings_[version];
+      ++n;
+      last = loop_.Now();
+    });
+  }
+
   void End(int proxy) {
     One& one = At(proxy);
     if (!one.hollow) return;
@@ -494,6 +509,7 @@
 
   // One after the other, as processes of their own would side by side: each reads and parses for itself.
   void Settings() override {
+    if (script_.feed) return;  // they follow by themselves
     for (std::size_t i = 0; i < ones_.size(); ++i) {
       loop_.At(loop_.Now(), [this, i] {
         One& one = ones_[i];
--- a/src/rig/scale_script.cpp
+++ b/src/rig/scale_script.cpp
@@ -32,6 +32,12 @@
 constexpr int kReturnWaves = 10;
 constexpr double kLargest = 1e6;
 
+struct SettingsBy {
+  std::string_view word;
+  bool value;
+};
+constexpr std::array kSettings = {SettingsBy{"file", false}, SettingsBy{"feed", true}};
+
 Micros Seconds(Section& section, std::string_view key, double otherwise, double least = 0) {
   return static_cast<Micros>(section.Number(key, otherwise, least, kLargest) * 1e6);
 }
@@ -141,6 +147,7 @@
   script.work_ms = s.Number("work_ms", script.work_ms, 0.1, 10'000);
   script.size = s.Number("size", script.size, 1, 1000);
   script.view = s.Flag("view", true);
+  script.feed = s.OneOf("settings", kSettings, "file");
   script.drain_window = static_cast<Micros>(s.Number("drain_window_ms", 1200, 0, 60'000) * 1000);
   script.drain_for = Seconds(s, "drain_for", 8, 0.1);
   script.most_processes =
--- a/src/rig/scale_script.hpp
+++ b/src/rig/scale_script.hpp
@@ -58,6 +58,7 @@
   double work_ms = 5;
   double size = 4;  // requests that a server runs side by side
   bool view = true;
+  bool feed = false;  // settings by the feed, from two control machines; else by a file and a signal
   Micros drain_window = 1'200'000;  // after it was told nothing new goes to a server that drains
   Micros drain_for = 8'000'000;     // from its drain to its end
   Micros form = 5'000'000;          // for the views to form, before the churn
@@ -70,10 +71,12 @@
 
   int HollowProcesses() const { return (hollow + to_a_process - 1) / to_a_process; }
   int ServerProcesses() const { return (servers + kServersAProcess - 1) / kServersAProcess; }
-  // All of them, the run's own and discovery's included.
-  int Processes() const { return HollowProcesses() + ServerProcesses() + real + 2; }
+  // All of them, the run's own, discovery's and the control machines included.
+  int Processes() const { return HollowProcesses() + ServerProcesses() + real + 2 + (feed ? 2 : 0); }
   int ZoneOfServer(int server) const;
   int ZoneOfProxy(int proxy) const { return proxy % zones; }  // hollow ones first, then the real ones
+  // As entries of the settings and proxies name it: a proxy works with one.
+  std::string ServiceOf(int number) const { return "plan-" + std::to_string(number % services); }
   int RegionOf(int zone) const { return zone / (zones / regions); }
 };
 
--- a/tests/rig/scale_script_test.cpp
+++ b/tests/rig/scale_script_test.cpp
@@ -79,6 +79,17 @@
             .find("s.toml:3: sweep.servers: a size of 5 is less") == 0);
 }
 
+TEST_CASE("settings come by a file or by the feed, which takes two processes more") {
+  CHECK_FALSE(ParseScale("[scale]\n", "s.toml").feed);
+  ScaleScript by_file = ParseScale("[scale]\nsettings = \"file\"\n", "s.toml");
+  ScaleScript by_feed = ParseScale("[scale]\nsettings = \"feed\"\n", "s.toml");
+  CHECK(by_feed.feed);
+  CHECK(by_feed.Processes() == by_file.Processes() + 2);
+  CHECK(by_feed.ServiceOf(13) == by_feed.ServiceOf(1));
+  CHECK(Refused("[scale]\nsettings = \"mail\"\n")
+            .find("s.toml:2: scale.settings: 'mail' is unknown; give one of file, feed") == 0);
+}
+
 TEST_CASE("the plan is the seed's, and all that goes comes back before the quiet") {
   ScaleScript script = ParseScale(kHour, "s.toml");
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
