--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -33,6 +33,8 @@
 
   // Where lists are pushed, follows them from now on for as long as it lives; else waits for the module.
   void Start();
+  // Of the list that is held; it is handed on in the same round of the loop.
+  std::uint64_t version() const { return version_; }
   // Begins the watch; nothing to do while it goes on, a pause after a failed call included.
   void Watch() override;
   // One call for the whole list; its failure is told to the module, which may ask again.
