End a hollow proxy by the plan's clock, before its start

Cause: the end of a hollow proxy that was told to leave was set from when its loop came to the telling; a loop that lagged by more than half a second (ten proxies that each parse 65,536 tenants) started the next one first and then ended that.

--- a/src/rig/scale_roles.cpp
+++ b/src/rig/scale_roles.cpp
@@ -386,6 +386,7 @@
   One& At(int proxy) { return ones_[static_cast<std::size_t>(proxy - first_)]; }
 
   void Start(int proxy) {
+    End(proxy);
     One& one = At(proxy);
     HollowOptions options;
     options.name = "h" + std::to_string(proxy);
@@ -462,8 +463,10 @@
         if (change.what == ProxyChange::What::kStart) return Start(change.proxy);
         if (change.what == ProxyChange::What::kKill) return End(change.proxy);
         if (Hollow* hollow = At(change.proxy).hollow.get()) hollow->StopRequests();
-        loop_.At(loop_.Now() + kLeaving, [this, proxy = change.proxy] { End(proxy); });
       });
+      // By the plan's clock, not from when this loop came to it: before the start that follows, also late.
+      if (change.what == ProxyChange::What::kTerm)
+        Role::At(change.at + kLeaving, [this, &change] { End(change.proxy); });
     }
     Role::At(script_.length - kQuiet, [this] {
       for (One& one : ones_) {
