--- a/tests/feed/process_test.cpp
+++ b/tests/feed/process_test.cpp
@@ -289,7 +289,8 @@
   REQUIRE(fleet.AllHold(1));
   fleet.folder.Write("origin.jsonl", Origin(5, "5"));
   REQUIRE(fleet.AllHold(5));
-  // A serial that only the lost origin and the proxies knew is another case (world_test: an old origin alone).
+  // A serial that only the lost origin and the proxies knew is another case (world_test: an old origin
+  // alone).
   for (int m : {1, 2}) REQUIRE(fleet.machines[m]->Says("serial 5 in force"));
   fleet.machines[0]->End(SIGKILL);
   fleet.folder.Write("old.jsonl", Origin(2, "2"));
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -64,7 +64,7 @@
   void Close() { fd_.Reset(); }
   void EndSending() { ::shutdown(fd_.get(), SHUT_WR); }
   Fd Release() { return std::move(fd_); }  // to another owner
-  void Abort() {  // ends in a reset
+  void Abort() {                           // ends in a reset
     linger hard{1, 0};
     ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
     fd_.Reset();
--- a/tests/scale_test.sh
+++ b/tests/scale_test.sh
@@ -53,6 +53,9 @@
 [ "$(grep -c '^ok ' "$dir/out")" -eq 8 ] || say "not eight verdicts hold: $(cat "$dir/out")"
 grep -q '"holds" : true' "$dir/kept/verdict.json" || say "no verdict.json"
 nothing_left "the small run"
+"$rig" scale "$scripts/feed.toml" --seed 3 --quiet > "$dir/out" 2>&1 || say "the run with the feed: $(cat "$dir/out")"
+[ "$(grep -c '^ok ' "$dir/out")" -eq 8 ] || say "not eight verdicts hold with the feed: $(cat "$dir/out")"
+nothing_left "the run with the feed"
 
 sed 's/^real = 2/real = 2\nmost_mb = 1/' "$scripts/small.toml" > "$dir/tight.toml"
 "$rig" scale "$dir/tight.toml" --quiet > "$dir/out" 2>&1
