Bound the crowd of the filled descriptors' test, and let no program outlive its test

Seen: the network tests failed in one of two ctest runs and one of three runs of this case alone: 'member call ... invalid vptr' in doctest. Cause: each round dialled 170 more clients and kept the ended ones, until the test itself had no descriptor left and the sanitizer's own probe failed; the program it left behind held ctest's pipe.

--- a/tests/net/program.hpp
+++ b/tests/net/program.hpp
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -36,6 +37,8 @@
     pid_ = ::fork();
     REQUIRE(pid_ >= 0);
     if (pid_ == 0) {
+      // Guards against outliving a test that dies: whoever waits for the test's output would wait for us.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       int err = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT, 0600);
       ::dup2(err, 2);
       ::setenv("BALANCER_CONFIG", path.c_str(), 1);
--- a/tests/net/start_test.cpp
+++ b/tests/net/start_test.cpp
@@ -47,9 +47,13 @@
     std::uint16_t port = PortAfter(outside, program, "started as n0 on port ");
     std::vector<Peer> crowd, callers;
     auto fill = [&] {
-      for (int i = 0; i < 150; ++i) crowd.push_back(Peer::Dial(port));
+      // Who was sent away is replaced, so that far more than it has room for wait at every moment. Bounded: a
+      // test that runs out of descriptors itself would tell nothing (and the sanitizers need some).
+      std::erase_if(crowd, [](Peer& peer) { return peer.Ended(); });
+      while (crowd.size() < 600) crowd.push_back(Peer::Dial(port));
       // The console's callers as well: all that anybody may hold from outside.
-      for (int i = 0; i < 20; ++i) callers.push_back(Peer::Dial(console));
+      std::erase_if(callers, [](Peer& peer) { return peer.Ended(); });
+      while (callers.size() < 60) callers.push_back(Peer::Dial(console));
       if (!silent) {
         while (discovery.Accept()) discovery.peers.back().Abort();
       }
