--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -124,7 +124,7 @@
     http::WriteAnswer(message, keep_, &channel.out());
     channel.Flush();
   }
-  void Overloaded(Micros retry_after) override { Say(503, "overloaded, try again later", retry_after); }
+  void Rejected(Micros retry_after) override { Say(503, "overloaded, try again later", retry_after); }
   void Failed() override { Say(502, "no worker answered", 0); }
   bool Gone() const override { return channel.PeerEnded(); }
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -11,23 +11,23 @@
 constexpr Micros kTellEvery = 1'000'000;
 
 // The seam between the names of this code and the module's.
-sandstand::Outcome Translate(DelegationEnd end) {
+sandstand::Outcome Translate(AttemptEnd end) {
   switch (end) {
-    case DelegationEnd::kAnswered:
+    case AttemptEnd::kAnswered:
       return sandstand::Outcome::kServed;
-    case DelegationEnd::kError:
+    case AttemptEnd::kError:
       return sandstand::Outcome::kError;
-    case DelegationEnd::kTurnedAway:
+    case AttemptEnd::kTurnedAway:
       return sandstand::Outcome::kFull;
-    case DelegationEnd::kTimedOut:
+    case AttemptEnd::kTimedOut:
       return sandstand::Outcome::kTimeout;
-    case DelegationEnd::kUnreachable:
+    case AttemptEnd::kUnreachable:
       return sandstand::Outcome::kConnectFailed;
-    case DelegationEnd::kReset:
+    case AttemptEnd::kReset:
       return sandstand::Outcome::kReset;
-    case DelegationEnd::kGivenUp:
+    case AttemptEnd::kGivenUp:
       return sandstand::Outcome::kCancelled;
-    case DelegationEnd::kNotSent:
+    case AttemptEnd::kNotSent:
       return sandstand::Outcome::kNotSent;
   }
   return sandstand::Outcome::kReset;
@@ -85,15 +85,15 @@
                   static_cast<double>(loop_.Now() - listed_at_) / 1e6);
     answered = text;
   }
-  auto ended = [&t](DelegationEnd end) { return t.ended[static_cast<std::size_t>(end)]; };
+  auto ended = [&t](AttemptEnd end) { return t.ended[static_cast<std::size_t>(end)]; };
   log_.Line(
       "passed: %d in, %d served, %d refused, %d failed, %d left, %zu open; sent %d, dialled %d; ended %d ok, "
       "%d error, %d turned away, %d timed out, %d unreachable, %d reset, %d given up, %d not sent; list "
       "calls %d, failed %d, %s",
       t.arrived, t.served, t.refused, t.failed, t.left, open_calls_, t.sent, t.dialled,
-      ended(DelegationEnd::kAnswered), ended(DelegationEnd::kError), ended(DelegationEnd::kTurnedAway),
-      ended(DelegationEnd::kTimedOut), ended(DelegationEnd::kUnreachable), ended(DelegationEnd::kReset),
-      ended(DelegationEnd::kGivenUp), ended(DelegationEnd::kNotSent), t.list_calls, t.list_failures,
+      ended(AttemptEnd::kAnswered), ended(AttemptEnd::kError), ended(AttemptEnd::kTurnedAway),
+      ended(AttemptEnd::kTimedOut), ended(AttemptEnd::kUnreachable), ended(AttemptEnd::kReset),
+      ended(AttemptEnd::kGivenUp), ended(AttemptEnd::kNotSent), t.list_calls, t.list_failures,
       answered.c_str());
   tell_.Set(kTellEvery, [this] { TellTally(); });
 }
@@ -167,25 +167,25 @@
 void Gateway::Withdraw(CallId id) {
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
-  std::vector<DelegationKey> out;
-  for (std::size_t i = 0; i < it->second.delegations.size(); ++i) {
-    if (it->second.delegations[i].out) out.push_back({id, static_cast<int>(i)});
+  std::vector<AttemptKey> out;
+  for (std::size_t i = 0; i < it->second.attempts.size(); ++i) {
+    if (it->second.attempts[i].out) out.push_back({id, static_cast<int>(i)});
   }
-  for (const DelegationKey& key : out) TakeBack(key);
+  for (const AttemptKey& key : out) TakeBack(key);
 }
 
 // Guards against what becomes due while its bytes can't leave yet: a connection that comes up late, a process
 // that stood still. The client's end may lie in the kernel behind what this round still handles.
-bool Gateway::MayWrite(DelegationKey key) {
+bool Gateway::MayWrite(AttemptKey key) {
   auto it = calls_.find(key.call);
   // Not one of ours: nothing here speaks against it.
-  if (it == calls_.end() || key.number >= static_cast<int>(it->second.delegations.size())) return true;
+  if (it == calls_.end() || key.number >= static_cast<int>(it->second.attempts.size())) return true;
   Call& call = it->second;
   if (call.caller != nullptr && call.caller->Gone()) Left(key.call);
   // Left forgets the call if nothing of it is out any more.
   it = calls_.find(key.call);
   if (it == calls_.end()) return false;
-  const Sent& sent = it->second.delegations[static_cast<std::size_t>(key.number)];
+  const Sent& sent = it->second.attempts[static_cast<std::size_t>(key.number)];
   if (!sent.out) return false;
   if (loop_.Now() < sent.write_by) return true;
   TakeBack(key);
@@ -193,15 +193,15 @@
 }
 
 // Gives up what has not been written whole: it never runs.
-void Gateway::TakeBack(DelegationKey key) {
-  if (workers_->Withdraw(key)) Ended(key, DelegationEnd::kNotSent, nullptr);
+void Gateway::TakeBack(AttemptKey key) {
+  if (workers_->Withdraw(key)) Ended(key, AttemptEnd::kNotSent, nullptr);
 }
 
-void Gateway::Ended(DelegationKey key, DelegationEnd end, PayloadRef answer) {
+void Gateway::Ended(AttemptKey key, AttemptEnd end, PayloadRef answer) {
   auto it = calls_.find(key.call);
-  if (it == calls_.end() || key.number >= static_cast<int>(it->second.delegations.size())) return;
-  Sent& sent = it->second.delegations[static_cast<std::size_t>(key.number)];
-  // Guards against a second outcome of one delegation: the module is owed exactly one.
+  if (it == calls_.end() || key.number >= static_cast<int>(it->second.attempts.size())) return;
+  Sent& sent = it->second.attempts[static_cast<std::size_t>(key.number)];
+  // Guards against a second outcome of one attempt: the module is owed exactly one.
   if (!sent.out) return;
   sent.out = false;
   sent.limit.reset();
@@ -209,7 +209,7 @@
   --it->second.out;
   ++tally().ended[static_cast<std::size_t>(end)];
   // The first answer of a worker is the call's; a later one comes to nobody.
-  Caller* caller = end == DelegationEnd::kAnswered ? Close(key.call) : nullptr;
+  Caller* caller = end == AttemptEnd::kAnswered ? Close(key.call) : nullptr;
   sandstand::AttemptEnded event;
   event.id = key.call;
   event.attempt = key.number;
@@ -320,17 +320,17 @@
   auto it = calls_.find(action.id);
   if (it == calls_.end()) return;
   Call& call = it->second;
-  DelegationKey key{action.id, static_cast<int>(call.delegations.size())};
-  Sent& sent = call.delegations.emplace_back();
+  AttemptKey key{action.id, static_cast<int>(call.attempts.size())};
+  Sent& sent = call.attempts.emplace_back();
   ++call.out;
   ++tally().sent;
   sent.at = loop_.Now();
-  if (call.caller == nullptr) return Ended(key, DelegationEnd::kNotSent, nullptr);
-  if (action.timeout <= 0) return Ended(key, DelegationEnd::kTimedOut, nullptr);
+  if (call.caller == nullptr) return Ended(key, AttemptEnd::kNotSent, nullptr);
+  if (action.timeout <= 0) return Ended(key, AttemptEnd::kTimedOut, nullptr);
   sent.limit = std::make_unique<Timer>(loop_);
   sent.limit->Set(action.timeout, [this, key] {
     workers_->GiveUp(key);
-    Ended(key, DelegationEnd::kTimedOut, nullptr);
+    Ended(key, AttemptEnd::kTimedOut, nullptr);
   });
   sent.write_by = sent.at + action.write_within;
   if (action.write_within < action.timeout) {
@@ -344,7 +344,7 @@
   Caller* caller = Close(action.id);
   if (caller != nullptr) {
     ++tally().refused;
-    caller->Overloaded(action.retry_after);
+    caller->Rejected(action.retry_after);
   }
   ForgetIfOver(action.id);
 }
@@ -359,15 +359,15 @@
 }
 
 void Gateway::Carry(const sandstand::Cancel& action) {
-  DelegationKey key{action.id, action.attempt};
+  AttemptKey key{action.id, action.attempt};
   auto it = calls_.find(action.id);
   if (it == calls_.end() || action.attempt < 0 ||
-      action.attempt >= static_cast<int>(it->second.delegations.size()) ||
-      !it->second.delegations[static_cast<std::size_t>(action.attempt)].out) {
+      action.attempt >= static_cast<int>(it->second.attempts.size()) ||
+      !it->second.attempts[static_cast<std::size_t>(action.attempt)].out) {
     return;  // it ended while this action was on its way
   }
   workers_->GiveUp(key);
-  Ended(key, DelegationEnd::kGivenUp, nullptr);
+  Ended(key, AttemptEnd::kGivenUp, nullptr);
 }
 
 // The module may ask for more wake-ups than it needs; the earliest is enough, since each event has it ask for
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -1,4 +1,4 @@
-// Owns the decision module and the table of calls and delegations. It turns neutral arrivals and outcomes
+// Owns the decision module and the table of calls and attempts. It turns neutral arrivals and outcomes
 // into the module's events and carries its actions out. It decides nothing and knows no protocol.
 #ifndef DAPPLETILLER_NET_GATEWAY_HPP_
 #define DAPPLETILLER_NET_GATEWAY_HPP_
@@ -33,9 +33,9 @@
   void Left(CallId id);
   // From the workers' side: bytes of an attempt are about to be handed to the kernel. False: none may, since
   // its client has gone or its time to be written is over; the attempt has then been given up and ended.
-  bool MayWrite(DelegationKey key);
-  // From the workers' side: how a delegation ended; unknown ones are ignored.
-  void Ended(DelegationKey key, DelegationEnd end, PayloadRef answer);
+  bool MayWrite(AttemptKey key);
+  // From the workers' side: how an attempt ended; unknown ones are ignored.
+  void Ended(AttemptKey key, AttemptEnd end, PayloadRef answer);
   // From discovery.
   void Learn(const WorkerList& list);
   // From the parts of the fleet: how much of what all proxies share is this one's, until when.
@@ -71,7 +71,7 @@
   struct Call {
     Caller* caller = nullptr;  // null once it has its answer or has left
     PayloadRef payload;
-    std::vector<Sent> delegations;
+    std::vector<Sent> attempts;
     int out = 0;
   };
   struct Known {
@@ -93,7 +93,7 @@
   void Carry(const sandstand::Log& action);
   Caller* Close(CallId id);
   void Withdraw(CallId id);
-  void TakeBack(DelegationKey key);
+  void TakeBack(AttemptKey key);
   void ForgetIfOver(CallId id);
   void TellTally();
 
--- a/src/net/tally.hpp
+++ b/src/net/tally.hpp
@@ -13,11 +13,11 @@
   int refused = 0;
   int failed = 0;
   int left = 0;  // the client went first
-  int sent = 0;  // delegations
+  int sent = 0;  // attempts
   int dialled = 0;
   int list_calls = 0;
   int list_failures = 0;
-  std::array<int, 8> ended{};  // delegations by DelegationEnd
+  std::array<int, 8> ended{};  // attempts by AttemptEnd
 
   bool empty() const { return arrived + served + refused + failed + left + sent + list_calls == 0; }
 };
--- a/src/net/types.hpp
+++ b/src/net/types.hpp
@@ -45,7 +45,7 @@
 class Caller {
  public:
   virtual void Served(PayloadRef answer) = 0;
-  virtual void Overloaded(Micros retry_after) = 0;  // 0: no advice
+  virtual void Rejected(Micros retry_after) = 0;  // 0: no advice
   virtual void Failed() = 0;
   // Whether the client has gone, as the kernel knows it now: its end may not have been read yet.
   virtual bool Gone() const = 0;
@@ -54,18 +54,18 @@
   ~Caller() = default;
 };
 
-struct DelegationKey {
+struct AttemptKey {
   CallId call = 0;
   int number = 0;
-  bool operator==(const DelegationKey&) const = default;
+  bool operator==(const AttemptKey&) const = default;
 };
-struct DelegationKeyHash {
-  std::size_t operator()(const DelegationKey& k) const {
+struct AttemptKeyHash {
+  std::size_t operator()(const AttemptKey& k) const {
     return std::hash<std::uint64_t>()(k.call * 64 + static_cast<std::uint64_t>(k.number));
   }
 };
 
-enum class DelegationEnd {
+enum class AttemptEnd {
   kAnswered,
   kError,        // the worker answered with an error; it may have run
   kTurnedAway,   // the worker says that it never ran
@@ -76,21 +76,21 @@
   kNotSent       // never left this process
 };
 
-struct Delegation {
-  DelegationKey key;
+struct Attempt {
+  AttemptKey key;
   WorkerId worker = 0;
   Micros wait = 0;  // how long the answer is waited for
   PayloadRef payload;
 };
 
-// The side that carries delegations to workers. After GiveUp nothing more is reported of that delegation.
+// The side that carries attempts to workers. After GiveUp nothing more is reported of that attempt.
 class Workers {
  public:
-  virtual void Start(const Delegation& delegation) = 0;
-  virtual void GiveUp(DelegationKey key) = 0;
-  // Gives up a delegation whose last byte is not written yet, so that it never runs. False: it is written, or
+  virtual void Start(const Attempt& attempt) = 0;
+  virtual void GiveUp(AttemptKey key) = 0;
+  // Gives up an attempt whose last byte is not written yet, so that it never runs. False: it is written, or
   // unknown; it goes on.
-  virtual bool Withdraw(DelegationKey key) = 0;
+  virtual bool Withdraw(AttemptKey key) = 0;
   virtual void Locate(WorkerId worker, const Endpoint& endpoint) = 0;
   // Takes no new work: its unused connections can go, and what has not begun to be sent ends unreachable.
   virtual void Release(WorkerId worker) = 0;
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -19,11 +19,11 @@
 constexpr Micros kWaryFor = 60'000'000;
 constexpr Micros kWaryRest = 50'000;
 
-DelegationEnd Judge(const http::Message& answer) {
-  if (answer.status() == 200) return DelegationEnd::kAnswered;
+AttemptEnd Judge(const http::Message& answer) {
+  if (answer.status() == 200) return AttemptEnd::kAnswered;
   bool refused = answer.status() == 503 || answer.status() == 504;
-  if (refused && answer.Find("Not-Started") == "1") return DelegationEnd::kTurnedAway;
-  return DelegationEnd::kError;
+  if (refused && answer.Find("Not-Started") == "1") return AttemptEnd::kTurnedAway;
+  return AttemptEnd::kError;
 }
 
 }  // namespace
@@ -34,13 +34,13 @@
   Link(WorkerLinks& links, WorkerId worker, const Endpoint& endpoint)
       : worker(worker), endpoint(endpoint), timer(links.loop_), channel(links.loop_, *this), links_(links) {}
 
-  void Send(const Delegation& delegation) {
-    key = delegation.key;
+  void Send(const Attempt& attempt) {
+    key = attempt.key;
     busy = true;
     written_ = false;
     // The payload is ours: this is the only protocol whose calls reach these links.
-    request_ = std::static_pointer_cast<const http::Message>(delegation.payload);
-    wait_until_ = links_.loop_.Now() + delegation.wait;
+    request_ = std::static_pointer_cast<const http::Message>(attempt.payload);
+    wait_until_ = links_.loop_.Now() + attempt.wait;
     if (!up) return;
     Write();
     channel.Flush();
@@ -67,7 +67,7 @@
     if (!busy) return links_.DropIdle(*this);
     if (written_ && !parser_.begun()) links_.NoteRest(rest, false);
     // What was never written whole can't have run.
-    links_.Finish(*this, written_ ? DelegationEnd::kReset : DelegationEnd::kUnreachable, nullptr);
+    links_.Finish(*this, written_ ? AttemptEnd::kReset : AttemptEnd::kUnreachable, nullptr);
   }
 
   bool reusable() const { return reusable_ && channel.open(); }
@@ -75,14 +75,14 @@
 
   WorkerId worker;
   Endpoint endpoint;
-  DelegationKey key;
+  AttemptKey key;
   bool busy = false;
   bool up = false;  // connected: bytes may have been sent
   Timer timer;      // dialling, or idle
   Channel channel;
   LinkList::iterator place;  // while idle
   Micros parked_at = 0;
-  Micros rest = -1;  // before the delegation at hand; none on a new connection
+  Micros rest = -1;  // before the attempt at hand; none on a new connection
 
  private:
   // Once the connection is up, not before: guards against telling more time than the client still has, by as
@@ -100,17 +100,17 @@
     }
     if (parser_.bad()) {
       channel.Close();
-      return links_.Finish(*this, written_ ? DelegationEnd::kReset : DelegationEnd::kUnreachable, nullptr);
+      return links_.Finish(*this, written_ ? AttemptEnd::kReset : AttemptEnd::kUnreachable, nullptr);
     }
     if (!parser_.done()) return;
     http::MessageRef answer = parser_.Take();
     // An answer before the request was written whole leaves a connection with half a request on it.
     reusable_ = answer->keep_alive() && written_ && !parser_.begun();
     if (parser_.begun()) links_.NoteSurplus(worker);
-    DelegationEnd end = Judge(*answer);
+    AttemptEnd end = Judge(*answer);
     // A worker begins a request once its last byte has arrived. Guards against serving what was made for an
     // earlier one: before that byte only a refusal can be meant for this.
-    if (!written_ && end != DelegationEnd::kTurnedAway) end = DelegationEnd::kUnreachable;
+    if (!written_ && end != AttemptEnd::kTurnedAway) end = AttemptEnd::kUnreachable;
     links_.NoteRest(rest, true);
     links_.Finish(*this, end, std::move(answer));
   }
@@ -141,15 +141,15 @@
   if (it == pools_.end()) return;
   while (!it->second.idle.empty()) DropIdle(*it->second.idle.back());
   // Guards against a connection that comes up long after the drain was told, and would only then send.
-  std::vector<DelegationKey> dialling;
+  std::vector<AttemptKey> dialling;
   for (const auto& [key, link] : busy_) {
     if (link->worker == worker && !link->up) dialling.push_back(key);
   }
-  for (const DelegationKey& key : dialling) {
+  for (const AttemptKey& key : dialling) {
     auto found = busy_.find(key);
     if (found == busy_.end()) continue;
     found->second->channel.Close();
-    Finish(*found->second, DelegationEnd::kUnreachable, nullptr);
+    Finish(*found->second, AttemptEnd::kUnreachable, nullptr);
   }
 }
 
@@ -159,18 +159,18 @@
   pools_.erase(worker);
 }
 
-void WorkerLinks::Start(const Delegation& delegation) {
-  auto it = pools_.find(delegation.worker);
-  if (it == pools_.end()) return gateway_.Ended(delegation.key, DelegationEnd::kNotSent, nullptr);
+void WorkerLinks::Start(const Attempt& attempt) {
+  auto it = pools_.find(attempt.worker);
+  if (it == pools_.end()) return gateway_.Ended(attempt.key, AttemptEnd::kNotSent, nullptr);
   std::unique_ptr<Link> link = TakeIdle(it->second);
   if (link == nullptr) {
     if (!budget_.MakeRoom(Budget::Side::kWorkers)) {
       log_.Line("worker: all %zu connections in use, a call is not sent", budget_.limit());
-      return gateway_.Ended(delegation.key, DelegationEnd::kNotSent, nullptr);
+      return gateway_.Ended(attempt.key, AttemptEnd::kNotSent, nullptr);
     }
-    link = std::make_unique<Link>(*this, delegation.worker, it->second.endpoint);
+    link = std::make_unique<Link>(*this, attempt.worker, it->second.endpoint);
     if (!link->channel.Connect(it->second.endpoint)) {
-      return gateway_.Ended(delegation.key, DelegationEnd::kUnreachable, nullptr);
+      return gateway_.Ended(attempt.key, AttemptEnd::kUnreachable, nullptr);
     }
     ++count_;
     ++gateway_.tally().dialled;
@@ -178,12 +178,12 @@
     Link* dialled = link.get();
     link->timer.Set(limits_.dial, [this, dialled] {
       dialled->channel.Close();
-      Finish(*dialled, DelegationEnd::kUnreachable, nullptr);
+      Finish(*dialled, AttemptEnd::kUnreachable, nullptr);
     });
   }
   Link& started = *link;
-  busy_[delegation.key] = std::move(link);
-  started.Send(delegation);
+  busy_[attempt.key] = std::move(link);
+  started.Send(attempt);
 }
 
 // Of the idle connections that still stand the one whose rest broke the fewest requests so far, and of equals
@@ -238,7 +238,7 @@
 }
 
 // Giving up means closing: the worker stops its work when the connection goes.
-void WorkerLinks::GiveUp(DelegationKey key) {
+void WorkerLinks::GiveUp(AttemptKey key) {
   auto it = busy_.find(key);
   if (it == busy_.end()) return;
   std::unique_ptr<Link> link = std::move(it->second);
@@ -246,7 +246,7 @@
   Discard(std::move(link));
 }
 
-bool WorkerLinks::Withdraw(DelegationKey key) {
+bool WorkerLinks::Withdraw(AttemptKey key) {
   auto it = busy_.find(key);
   if (it == busy_.end() || it->second->written()) return false;
   GiveUp(key);
@@ -258,13 +258,13 @@
   if (it != pools_.end()) it->second.wary_until = loop_.Now() + kWaryFor;
 }
 
-void WorkerLinks::Finish(Link& link, DelegationEnd end, PayloadRef answer) {
+void WorkerLinks::Finish(Link& link, AttemptEnd end, PayloadRef answer) {
   auto it = busy_.find(link.key);
   if (it == busy_.end()) return;
   std::unique_ptr<Link> owned = std::move(it->second);
   busy_.erase(it);
   owned->busy = false;
-  DelegationKey key = owned->key;
+  AttemptKey key = owned->key;
   // Parked first: the outcome may have the module send to this worker again at once.
   if (owned->reusable()) {
     Park(std::move(owned));
--- a/src/net/worker.hpp
+++ b/src/net/worker.hpp
@@ -1,4 +1,4 @@
-// Connections to workers over HTTP: a pool for each worker, one delegation at a time on each connection.
+// Connections to workers over HTTP: a pool for each worker, one attempt at a time on each connection.
 #ifndef DAPPLETILLER_NET_WORKER_HPP_
 #define DAPPLETILLER_NET_WORKER_HPP_
 
@@ -25,9 +25,9 @@
   WorkerLinks(Loop& loop, Log& log, Gateway& gateway, Budget& budget, const WorkerLimits& limits);
   ~WorkerLinks();
 
-  void Start(const Delegation& delegation) override;
-  void GiveUp(DelegationKey key) override;
-  bool Withdraw(DelegationKey key) override;
+  void Start(const Attempt& attempt) override;
+  void GiveUp(AttemptKey key) override;
+  bool Withdraw(AttemptKey key) override;
   void Locate(WorkerId worker, const Endpoint& endpoint) override;
   void Release(WorkerId worker) override;
   void Forget(WorkerId worker) override;
@@ -51,7 +51,7 @@
 
   std::unique_ptr<Link> TakeIdle(Pool& pool);
   bool DropOneIdle();
-  void Finish(Link& link, DelegationEnd end, PayloadRef answer);
+  void Finish(Link& link, AttemptEnd end, PayloadRef answer);
   void Park(std::unique_ptr<Link> link);
   void DropIdle(Link& link);
   void Discard(std::unique_ptr<Link> link);
@@ -62,7 +62,7 @@
   Budget& budget_;
   WorkerLimits limits_;
   std::unordered_map<WorkerId, Pool> pools_;
-  std::unordered_map<DelegationKey, std::unique_ptr<Link>, DelegationKeyHash> busy_;
+  std::unordered_map<AttemptKey, std::unique_ptr<Link>, AttemptKeyHash> busy_;
   std::size_t count_ = 0;
   limits::RestRecord rests_;
   Timer fade_;  // of what is known of rests, so that they are tried again
--- a/src/rig/hollow.cpp
+++ b/src/rig/hollow.cpp
@@ -89,7 +89,7 @@
 struct Hollow::Request final : Caller {
   explicit Request(Hollow& h) : hollow(h) {}
   void Served(PayloadRef) override { Count(&hollow.world_.served); }
-  void Overloaded(Micros) override { Count(&hollow.world_.refused); }
+  void Rejected(Micros) override { Count(&hollow.world_.refused); }
   void Failed() override { Count(&hollow.world_.failed); }
   bool Gone() const override { return false; }
   void Count(std::uint64_t* what) {
@@ -170,10 +170,10 @@
   gateway_.Arrive(id, std::move(arrival), request);
 }
 
-void Hollow::Start(const Delegation& delegation) {
+void Hollow::Start(const Attempt& attempt) {
   Micros now = loop_.Now();
   ++world_.sent;
-  Place& place = places_[delegation.worker];
+  Place& place = places_[attempt.worker];
   const auto& server = world_.servers[static_cast<std::size_t>(place.server)];
   Micros window = world_.drain_window + kTimeTolerance;
   if (place.told != 0 && now > place.told + window) ++world_.after_told;
@@ -182,17 +182,17 @@
   if (server.drained != 0 && now > had + limits::WatchTimes::kToldAfter + window) ++world_.after_had;
   bool drains = server.drained != 0;
   Micros takes = !server.runs ? kDial : drains ? kTurnsAway : world_.work;
-  DelegationEnd end = !server.runs ? DelegationEnd::kUnreachable
-                      : drains     ? DelegationEnd::kTurnedAway
-                                   : DelegationEnd::kAnswered;
-  DelegationKey key = delegation.key;
+  AttemptEnd end = !server.runs ? AttemptEnd::kUnreachable
+                   : drains     ? AttemptEnd::kTurnedAway
+                                : AttemptEnd::kAnswered;
+  AttemptKey key = attempt.key;
   out_[key] = loop_.At(now + takes, [this, key, end] {
     out_.erase(key);
     gateway_.Ended(key, end, nullptr);
   });
 }
 
-void Hollow::GiveUp(DelegationKey key) {
+void Hollow::GiveUp(AttemptKey key) {
   auto it = out_.find(key);
   if (it == out_.end()) return;
   loop_.Cancel(it->second);
--- a/src/rig/hollow.hpp
+++ b/src/rig/hollow.hpp
@@ -149,9 +149,9 @@
     Micros told_was = 0;  // the same, before the list that is being taken
   };
   static Config Placed(Config config, const HollowOptions& options);
-  void Start(const Delegation& delegation) override;
-  void GiveUp(DelegationKey key) override;
-  bool Withdraw(DelegationKey) override { return false; }
+  void Start(const Attempt& attempt) override;
+  void GiveUp(AttemptKey key) override;
+  bool Withdraw(AttemptKey) override { return false; }
   void Locate(WorkerId worker, const Endpoint& endpoint) override;
   void Release(WorkerId worker) override;
   void Forget(WorkerId worker) override;
@@ -170,7 +170,7 @@
   pcg32 random_;
   Timer next_;
   std::vector<Place> places_;  // by the gateway's number
-  std::unordered_map<DelegationKey, Loop::TimerKey, DelegationKeyHash> out_;
+  std::unordered_map<AttemptKey, Loop::TimerKey, AttemptKeyHash> out_;
   std::unordered_map<CallId, std::unique_ptr<Request>> requests_;
   std::size_t open_ = 0;
   bool touched_ = false;
--- a/src/rig/measure.cpp
+++ b/src/rig/measure.cpp
@@ -41,13 +41,13 @@
 // Servers that answer when they are told to, and are never reached by a socket.
 class Answering final : public Workers {
  public:
-  void Start(const Delegation& delegation) override { out.push_back(delegation.key); }
-  void GiveUp(DelegationKey key) override { std::erase(out, key); }
-  bool Withdraw(DelegationKey) override { return false; }
+  void Start(const Attempt& attempt) override { out.push_back(attempt.key); }
+  void GiveUp(AttemptKey key) override { std::erase(out, key); }
+  bool Withdraw(AttemptKey) override { return false; }
   void Locate(WorkerId, const Endpoint&) override {}
   void Release(WorkerId) override {}
   void Forget(WorkerId) override {}
-  std::vector<DelegationKey> out;
+  std::vector<AttemptKey> out;
 };
 class NoList final : public ListSource {
  public:
@@ -57,7 +57,7 @@
 class Nobody final : public Caller {
  public:
   void Served(PayloadRef) override {}
-  void Overloaded(Micros) override {}
+  void Rejected(Micros) override {}
   void Failed() override {}
   bool Gone() const override { return false; }
 };
@@ -148,9 +148,9 @@
       arrival.tenant = static_cast<int>(random(100));
       gateway.Arrive(id, std::move(arrival), nobody);
       while (workers.out.size() > kOpen) {
-        DelegationKey key = workers.out.front();
+        AttemptKey key = workers.out.front();
         workers.out.erase(workers.out.begin());
-        gateway.Ended(key, DelegationEnd::kAnswered, nullptr);
+        gateway.Ended(key, AttemptEnd::kAnswered, nullptr);
       }
     }
     requests += Cpu() - a;
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -73,8 +73,8 @@
     Host* first = Dialled(rig, one, two);
     rig.Request(*first, "a1").Say(Answer(status, "", "Not-Started: 1\r\n"));
     Peer& second = rig.Request(first == &one ? two : one, "a1");
-    // The module is owed one outcome of each delegation: another word about the first changes nothing.
-    rig.gateway.Ended({1, 0}, DelegationEnd::kError, nullptr);
+    // The module is owed one outcome of each attempt: another word about the first changes nothing.
+    rig.gateway.Ended({1, 0}, AttemptEnd::kError, nullptr);
     second.Say(Answer(200, "paid"));
     rig.Hears(client, "paid");
     CHECK_FALSE(client.Has("Not-Started"));
@@ -219,7 +219,7 @@
   CHECK(rig.workers.connections() == 0);
 }
 
-TEST_CASE("a client that goes has its delegation called off by closing the connection") {
+TEST_CASE("a client that goes has its attempt called off by closing the connection") {
   Rig rig;
   Host worker;
   rig.Know({&worker});
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -252,7 +252,7 @@
          "\r\n" + more + "\r\n" + body;
 }
 
-// No call and no delegation is left behind: every one sent has had its one outcome.
+// No call and no attempt is left behind: every one sent has had its one outcome.
 inline void Settles(Rig& rig) {
   rig.Until("all is over", [&] { return rig.gateway.table_size() == 0; });
   CHECK(rig.gateway.open_calls() == 0);
@@ -261,7 +261,7 @@
 // Waits for the final answer of a call that a test hands to the gateway itself.
 struct Waiter final : Caller {
   void Served(PayloadRef) override { ++served; }
-  void Overloaded(Micros) override { ++other; }
+  void Rejected(Micros) override { ++other; }
   void Failed() override { ++other; }
   bool Gone() const override { return false; }
   int served = 0;
