Answer a held request at its deadline also when another event ran the alarm before it

Cause: the module keeps all its alarms behind one wake-up, and asks for the next whenever the last one's time has passed. The request dispatcher kept one timer and dropped each wake-up that lay behind one still pending (Gateway::Carry(WakeAfter)). An event handled after that one was due, and before its timer ran in the same round, answered what was due and asked for the next wake-up; that was dropped, the pending one then fired, and the module, which took the next one for set, asked for nothing. A held request, which has no attempt with a timer of its own, stayed open until some other event came: on a proxy with little traffic, among silent servers or on its way out, too late or never.

Change: the newest wake-up replaces the one before it, and the interface says so. The module only ever asks for its earliest alarm, so one timer is enough.

--- a/include/sandstand/balancer.hpp
+++ b/include/sandstand/balancer.hpp
@@ -181,7 +181,9 @@
   RequestId id = 0;
   int attempt = 0;
 };
-struct WakeAfter {  // deliver a TimerFired; superfluous ones are harmless
+// Deliver a TimerFired after `delay`. The newest WakeAfter replaces all before it, so a caller needs one
+// timer; superfluous TimerFired events are harmless.
+struct WakeAfter {
   Micros delay = 0;
 };
 struct Watch {};      // subscribe to changes of the server list
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -370,16 +370,10 @@
   Ended(key, AttemptEnd::kGivenUp, nullptr);
 }
 
-// The module may ask for more wake-ups than it needs; the earliest is enough, since each event has it ask for
-// the next.
+// Each request for a wake-up replaces the one before it, also when the earlier one is due and has not run yet:
+// an event that is handled after its due time runs the module's alarms and asks for the next of them.
 void Gateway::Carry(const sandstand::WakeAfter& action) {
-  Micros at = loop_.Now() + action.delay;
-  if (wake_at_ != 0 && wake_at_ <= at) return;
-  wake_at_ = at;
-  wake_.Set(action.delay, [this] {
-    wake_at_ = 0;
-    Deliver(sandstand::TimerFired{});
-  });
+  wake_.Set(action.delay, [this] { Deliver(sandstand::TimerFired{}); });
 }
 
 void Gateway::Carry(const sandstand::Watch&) { list_->Watch(); }
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -110,7 +110,6 @@
   std::deque<sandstand::Event> events_;
   bool delivering_ = false;
   std::vector<CallId> over_;  // to be forgotten once all events are delivered
-  Micros wake_at_ = 0;
   Timer wake_;
   Tally tally_;
   Timer tell_;
