Count a request's time from its last byte, also behind another request on its connection

Cause: the downstream connection counted a request's time from its first byte, and behind an earlier request from the moment that one's answer was written (`began_` in net/acceptor). The protocol counts it from the last byte. A request written slowly was out of time when it was whole and refused unsent; one behind another was granted more time than its client has, and would be answered after it.

Change: each connection keeps when its reads came (net/receive_times: pure, 64 reads at most), and a request's time is that of the read which brought its last byte.

Tests, seen to fail with the old code: a request written slowly is never sent; a request behind another is sent after its time (received at once, and in two pieces).

--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -14,6 +14,8 @@
 #include <system_error>
 #include <utility>
 
+#include "net/receive_times.hpp"
+
 namespace dappletiller {
 namespace {
 
@@ -46,13 +48,13 @@
         id(id),
         acceptor_(acceptor),
         timer_(acceptor.loop_),
-        began_(acceptor.loop_.Now()) {}
+        connected_at_(acceptor.loop_.Now()) {}
 
   // Until a request is whole. No byte but its first starts the time anew, and on a new connection not even
   // that one: guards against clients that hold a connection by saying nothing, or little at a time.
   void Begin() {
     if (parser_.begun()) {
-      Micros left = fresh_ ? began_ + kHeadTime - acceptor_.loop_.Now() : kHeadTime;
+      Micros left = fresh_ ? connected_at_ + kHeadTime - acceptor_.loop_.Now() : kHeadTime;
       timer_.Set(left, [this] { Reject(408, "the request took too long to arrive"); });
     } else {
       timer_.Set(kIdleTime, [this] { Leave(); });
@@ -83,11 +85,12 @@
     if (parser_.done() || parser_.bad() || spilt_) return Ahead(n);
     bool fresh = !parser_.begun();
     parser_.Got(n);
-    if (state_ != State::kReading) return;
+    Micros now = acceptor_.loop_.Now();
+    if (state_ != State::kReading) return received_.Add(n, now);
+    received_.Restart(parser_.held(), now);
     if (fresh) {
       acceptor_.room_.Receiving(id);
       Begin();
-      began_ = acceptor_.loop_.Now();
     }
     Look();
   }
@@ -103,7 +106,6 @@
       return;
     }
     state_ = State::kReading;
-    began_ = acceptor_.loop_.Now();
     Begin();
     Look();
     channel.Resume();
@@ -148,7 +150,9 @@
   void Ahead(std::size_t n) {
     if (parser_.bad() || spilt_) return;
     spilt_ = parser_.held() + n > kAheadLimit;
-    if (!spilt_) parser_.Feed({acceptor_.waste_.data(), n});
+    if (spilt_) return;
+    parser_.Feed({acceptor_.waste_.data(), n});
+    received_.Add(n, acceptor_.loop_.Now());
   }
 
   void Look() {
@@ -160,7 +164,9 @@
     }
     if (!parser_.done() && spilt_) return Reject(413, "too much was sent ahead of an answer");
     if (!parser_.done() || !channel.open()) return;
+    std::size_t held = parser_.held();
     http::MessageRef request = parser_.Take();
+    last_byte_at_ = received_.Take(held - parser_.held());
     keep_ = request->keep_alive();
     fresh_ = false;
     if (request->path() == "/up") {
@@ -208,8 +214,8 @@
       if (!span) return CloseCall(), Reject(400, "Request-Timeout is malformed");
       patience = std::min(patience, *span);
     }
-    // The client's time runs from its sending, so a request that came slowly has less of it left.
-    arrival.deadline = began_ + patience;
+    // A request's time runs from its last byte, however slowly it came and whatever it waited behind.
+    arrival.deadline = last_byte_at_ + patience;
     if (acceptor_.answer_by_ != 0) arrival.deadline = std::min(arrival.deadline, acceptor_.answer_by_);
     if (auto hint = request->Find("Work-Hint")) {
       Micros work = 0;
@@ -255,8 +261,10 @@
   State state_ = State::kReading;
   CallId call_ = 0;
   std::string request_id_;  // of the call
-  Micros began_;            // when the first bytes of the request were here, or the connection
-  bool fresh_ = true;       // no request has come whole
+  Micros connected_at_;
+  ReceiveTimes received_;
+  Micros last_byte_at_ = 0;  // of the request that was taken last
+  bool fresh_ = true;        // no request has come whole
   bool keep_ = true;
   bool spilt_ = false;  // more was sent ahead than is kept
 };
--- /dev/null
+++ b/src/net/receive_times.hpp
@@ -0,0 +1,40 @@
+// When the bytes of a connection were received, for the time of a request's last byte: a client's patience
+// runs from there, also where the request waits behind the answer to an earlier one.
+#ifndef DAPPLETILLER_NET_RECEIVE_TIMES_HPP_
+#define DAPPLETILLER_NET_RECEIVE_TIMES_HPP_
+
+#include <cstddef>
+#include <vector>
+
+#include "net/types.hpp"
+
+namespace dappletiller {
+
+// Knows no socket and no clock: it is told of each read, in order, and of each message that is taken.
+class ReceiveTimes {
+ public:
+  // Reads that are told apart at most. Beyond it, bytes count as received with the read before them, which is
+  // earlier than they were: memory stays bounded, and no request is granted more time than its client has.
+  static constexpr std::size_t kMostReads = 64;
+
+  // The last byte of the first message was not here before `now`: all `held` bytes count as received then.
+  void Restart(std::size_t held, Micros now);
+  // `bytes` more were received, behind the message that is being answered.
+  void Add(std::size_t bytes, Micros now);
+  // Takes the next `bytes` bytes off the record and returns when the last of them was received. At least as
+  // many bytes have to be on the record.
+  Micros Take(std::size_t bytes);
+
+  std::size_t reads() const { return reads_.size(); }
+
+ private:
+  struct Read {
+    std::size_t bytes = 0;
+    Micros at = 0;
+  };
+  std::vector<Read> reads_;  // oldest first
+};
+
+}  // namespace dappletiller
+
+#endif  // DAPPLETILLER_NET_RECEIVE_TIMES_HPP_
--- a/tests/net/deadline_test.cpp
+++ b/tests/net/deadline_test.cpp
@@ -1,6 +1,7 @@
 // A request is answered by its deadline, whatever else happens in the process around that moment.
 #include <string>
 
+#include "net/receive_times.hpp"
 #include "support.hpp"
 
 namespace dappletiller::testing {
@@ -11,6 +12,14 @@
          "\r\nRequest-Class: check\r\nRequest-Timeout: " + std::to_string(milliseconds) + "m\r\n\r\n";
 }
 
+// Of another class than the above: a request with far less time than others of its class is taken for a late
+// try.
+std::string PayWithin(const std::string& id, int milliseconds) {
+  return "POST /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+         "\r\nRequest-Class: pay\r\nRequest-Timeout: " + std::to_string(milliseconds) +
+         "m\r\nContent-Length: 3\r\n\r\npay";
+}
+
 // Waits until the loop's clock has passed `when`, while the loop itself stands still.
 void StandStillPast(Rig& rig, Micros when) {
   while (rig.loop.Now() <= when) ::poll(nullptr, 0, 1);
@@ -46,5 +55,78 @@
   rig.Hears(second, "HTTP/1.1 503 ");
 }
 
+// Counted from its first byte, a request that is written slowly would be out of time when it is whole.
+TEST_CASE("the time of a request that is written slowly runs from its last byte") {
+  constexpr int kWithin = 300;  // milliseconds
+  const std::string request = CheckWithin("slow", kWithin);
+  Rig rig;
+  Host server;
+  rig.Know({&server});
+  Peer client = rig.Client();
+  client.Say(request.substr(0, request.size() / 2));
+  Micros written_until = rig.loop.Now() + 2 * kWithin * kMs;
+  rig.Until("it was written for longer than it may take", [&] { return rig.loop.Now() > written_until; });
+  client.Say(request.substr(request.size() / 2));
+  rig.Request(server, "slow").Say(Answer(200, "in time"));
+  rig.Hears(client, "in time");
+}
+
+// Counted from the answer before it, a request that waits behind another would be answered after its time.
+TEST_CASE("the time of a request behind another one on its connection runs while it waits there") {
+  constexpr int kWithin = 200;  // milliseconds
+  std::string second = PayWithin("second", kWithin);
+  bool in_pieces = false;
+  SUBCASE("received with the first") {}
+  SUBCASE("received in two pieces after it") { in_pieces = true; }
+  Rig rig;  // no server is known yet: the first request is held
+  Host server;
+  Peer client = rig.Client();
+  client.Say(Check("first") + (in_pieces ? "" : second));
+  rig.Until("the first is held", [&] { return rig.gateway.open_calls() == 1; });
+  if (in_pieces) {
+    client.Say(second.substr(0, 20));
+    rig.loop.Round(0);
+    client.Say(second.substr(20));
+  }
+  // The loop is at work meanwhile: it reads what comes behind the first request.
+  Micros over_at = rig.loop.Now() + 2 * kWithin * kMs;
+  rig.Until("the second request's time is over", [&] { return rig.loop.Now() > over_at; });
+  rig.Know({&server});
+  rig.Request(server, "first").Say(Answer(200, "for the first"));
+  rig.Hears(client, "for the first");
+  rig.Hears(client, "HTTP/1.1 503 ");
+  Settles(rig);
+  server.Accept();
+  for (Peer& peer : server.peers) CHECK_FALSE(peer.Has("Request-Id: second"));
+}
+
+TEST_CASE("receive times: the time of a message is that of the read that brought its last byte") {
+  ReceiveTimes times;
+  times.Restart(10, 100);
+  CHECK(times.Take(10) == 100);
+  CHECK(times.reads() == 0);
+  times.Restart(10, 200);  // one message and the first two bytes of the next
+  times.Add(3, 300);
+  times.Add(5, 400);
+  CHECK(times.Take(8) == 200);
+  CHECK(times.Take(5) == 300);  // ends with the second read
+  CHECK(times.Take(1) == 400);
+  times.Restart(9, 500);  // the rest of the message under way
+  CHECK(times.Take(9) == 500);
+}
+
+TEST_CASE("receive times: many small reads take bounded memory, and never count as later than they were") {
+  ReceiveTimes times;
+  const Micros reads = 4 * ReceiveTimes::kMostReads;
+  for (Micros at = 1; at <= reads; ++at) times.Add(1, at);
+  CHECK(times.reads() == ReceiveTimes::kMostReads);
+  for (Micros at = 1; at <= reads; ++at) {
+    Micros taken = times.Take(1);
+    CHECK(taken <= at);
+    if (at <= static_cast<Micros>(ReceiveTimes::kMostReads)) CHECK(taken == at);
+  }
+  CHECK(times.reads() == 0);
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
