Keep receive times right where a chunked request behind another gives back its framing

Cause: the parser gives back what chunk lines took, so a connection may hold less than it received. The record of receive times counted what was received; a request behind such a one would have been dated by an older read, and refused early.

Change: the record is told what is held, and the oldest bytes go.

--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -86,7 +86,7 @@
     bool fresh = !parser_.begun();
     parser_.Got(n);
     Micros now = acceptor_.loop_.Now();
-    if (state_ != State::kReading) return received_.Add(n, now);
+    if (state_ != State::kReading) return received_.Add(n, parser_.held(), now);
     received_.Restart(parser_.held(), now);
     if (fresh) {
       acceptor_.room_.Receiving(id);
@@ -152,7 +152,7 @@
     spilt_ = parser_.held() + n > kAheadLimit;
     if (spilt_) return;
     parser_.Feed({acceptor_.waste_.data(), n});
-    received_.Add(n, acceptor_.loop_.Now());
+    received_.Add(n, parser_.held(), acceptor_.loop_.Now());
   }
 
   void Look() {
--- a/src/net/receive_times.cpp
+++ b/src/net/receive_times.cpp
@@ -1,15 +1,22 @@
 #include "net/receive_times.hpp"
 
+#include <algorithm>
+
 namespace dappletiller {
 
-void ReceiveTimes::Restart(std::size_t held, Micros now) { reads_.assign(1, {held, now}); }
+void ReceiveTimes::Restart(std::size_t held, Micros now) {
+  reads_.assign(1, {held, now});
+  total_ = held;
+}
 
-void ReceiveTimes::Add(std::size_t bytes, Micros now) {
+void ReceiveTimes::Add(std::size_t bytes, std::size_t held, Micros now) {
   if (reads_.size() < kMostReads) {
     reads_.push_back({bytes, now});
   } else {
     reads_.back().bytes += bytes;
   }
+  total_ += bytes;
+  if (total_ > held) Take(total_ - held);
 }
 
 Micros ReceiveTimes::Take(std::size_t bytes) {
@@ -17,12 +24,11 @@
   auto read = reads_.begin();
   while (bytes > 0 && read != reads_.end()) {
     at = read->at;
-    if (read->bytes > bytes) {
-      read->bytes -= bytes;
-      break;
-    }
-    bytes -= read->bytes;
-    ++read;
+    std::size_t taken = std::min(bytes, read->bytes);
+    read->bytes -= taken;
+    total_ -= taken;
+    bytes -= taken;
+    if (read->bytes == 0) ++read;
   }
   reads_.erase(reads_.begin(), read);
   return at;
--- a/src/net/receive_times.hpp
+++ b/src/net/receive_times.hpp
@@ -19,8 +19,10 @@
 
   // The last byte of the first message was not here before `now`: all `held` bytes count as received then.
   void Restart(std::size_t held, Micros now);
-  // `bytes` more were received, behind the message that is being answered.
-  void Add(std::size_t bytes, Micros now);
+  // `bytes` more were received behind the message that is being answered, and `held` of all that came are
+  // kept: less than were received where a parser gives back the framing of chunks. The oldest go off the
+  // record then.
+  void Add(std::size_t bytes, std::size_t held, Micros now);
   // Takes the next `bytes` bytes off the record and returns when the last of them was received. At least as
   // many bytes have to be on the record.
   Micros Take(std::size_t bytes);
@@ -33,6 +35,7 @@
     Micros at = 0;
   };
   std::vector<Read> reads_;  // oldest first
+  std::size_t total_ = 0;    // bytes of all of them
 };
 
 }  // namespace dappletiller
--- a/tests/net/deadline_test.cpp
+++ b/tests/net/deadline_test.cpp
@@ -106,8 +106,8 @@
   CHECK(times.Take(10) == 100);
   CHECK(times.reads() == 0);
   times.Restart(10, 200);  // one message and the first two bytes of the next
-  times.Add(3, 300);
-  times.Add(5, 400);
+  times.Add(3, 13, 300);
+  times.Add(5, 18, 400);
   CHECK(times.Take(8) == 200);
   CHECK(times.Take(5) == 300);  // ends with the second read
   CHECK(times.Take(1) == 400);
@@ -115,10 +115,21 @@
   CHECK(times.Take(9) == 500);
 }
 
+TEST_CASE("receive times: where framing is given back, the newest bytes keep their time") {
+  ReceiveTimes times;
+  times.Add(100, 100, 100);
+  times.Add(20, 30, 200);  // 90 bytes of framing were given back
+  CHECK(times.Take(10) == 100);
+  CHECK(times.Take(20) == 200);
+  times.Add(20, 5, 300);  // more than was held before
+  CHECK(times.Take(5) == 300);
+  CHECK(times.reads() == 0);
+}
+
 TEST_CASE("receive times: many small reads take bounded memory, and never count as later than they were") {
   ReceiveTimes times;
   const Micros reads = 4 * ReceiveTimes::kMostReads;
-  for (Micros at = 1; at <= reads; ++at) times.Add(1, at);
+  for (Micros at = 1; at <= reads; ++at) times.Add(1, static_cast<std::size_t>(at), at);
   CHECK(times.reads() == ReceiveTimes::kMostReads);
   for (Micros at = 1; at <= reads; ++at) {
     Micros taken = times.Take(1);
