Pass long bodies while there is memory for them, instead of refusing all beyond 64 KiB

Change: what a body takes beyond 64 KiB is asked from memory that all connections share (net/body_memory, an eighth of limits.memory_mb), as it is known: a stated length at once, a body without one as it comes. It is given back with the message. Without room a request is answered 503 at once and an answer has failed; above 1 MiB it is 413 as before.

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -19,6 +19,7 @@
 #include "feed/in_force.hpp"
 #include "feed/values.hpp"
 #include "net/acceptor.hpp"
+#include "net/body_memory.hpp"
 #include "net/budget.hpp"
 #include "net/config.hpp"
 #include "net/console.hpp"
@@ -45,7 +46,10 @@
 // and the console's callers, so that the list's watch can be opened anew when clients and workers hold all
 // the rest.
 constexpr std::size_t kOwnDescriptors = 16 + Console::kMostCallers;
-constexpr std::size_t kKeptPart = 8;    // one in so many connections is kept for clients
+constexpr std::size_t kKeptPart = 8;  // one in so many connections is kept for clients
+// One in so many bytes of the process's memory is the most that long bodies take beyond the usual size; a
+// buffer that grows may be up to twice as large as what it holds.
+constexpr std::size_t kLongBodiesPart = 8;
 constexpr std::size_t kPlacesPart = 3;  // one in so many descriptors is the most that clients hold for calls
 
 Config Load() {
@@ -102,8 +106,9 @@
         operator_path_(operator_path),
         gateway_(loop_, log_, config_.settings),
         budget_(config_.sockets - kOwnDescriptors, config_.sockets / kKeptPart),
-        workers_(loop_, log_, gateway_, budget_, Reaching(config_)),
-        acceptor_(loop_, log_, gateway_, budget_, Accepting(config_)),
+        long_bodies_(std::make_shared<BodyMemory>(config_.memory / kLongBodiesPart)),
+        workers_(loop_, log_, gateway_, budget_, Reaching(config_), long_bodies_),
+        acceptor_(loop_, log_, gateway_, budget_, Accepting(config_, long_bodies_)),
         discovery_(loop_, log_, gateway_,
                    {config_.discovery, config_.discovery_text, config_.names, config_.known.version,
                     config_.settings.ask_within, !config_.settings.list_on_request, config_.settings.seed}),
@@ -158,8 +163,9 @@
   }
 
  private:
-  static AcceptorOptions Accepting(const Config& config) {
+  static AcceptorOptions Accepting(const Config& config, std::shared_ptr<BodyMemory> long_bodies) {
     AcceptorOptions options;
+    options.long_bodies = std::move(long_bodies);
     options.listen = config.listen;
     options.places = config.sockets / kPlacesPart;
     options.classes = config.classes;
@@ -341,7 +347,7 @@
     workers_.SetLimits(Reaching(fresh));
     if (moved) discovery_.Move(fresh.discovery, fresh.discovery_text);
     if (fresh.settings_text != config_.settings_text) {
-      AcceptorOptions classes = Accepting(fresh);
+      AcceptorOptions classes = Accepting(fresh, nullptr);
       acceptor_.Retune(classes.classes, classes.patience, classes.effects);
       RetakeClasses();
     }
@@ -394,6 +400,7 @@
   Loop loop_;
   Gateway gateway_;
   Budget budget_;
+  std::shared_ptr<BodyMemory> long_bodies_;
   WorkerLinks workers_;
   Acceptor acceptor_;
   Discovery discovery_;
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -47,6 +47,7 @@
       : channel(acceptor.loop_, *this),
         id(id),
         acceptor_(acceptor),
+        parser_(http::Parser::Kind::kRequest, http::kBodyLimit, acceptor.options_.long_bodies),
         timer_(acceptor.loop_),
         connected_at_(acceptor.loop_.Now()) {}
 
@@ -156,7 +157,11 @@
   }
 
   void Look() {
-    if (parser_.bad()) return Reject(parser_.error_status(), "the request is malformed or too large");
+    if (parser_.bad()) {
+      bool no_memory = parser_.error_status() == 503;
+      return Reject(parser_.error_status(), no_memory ? "no memory for a long body is left now"
+                                                      : "the request is malformed or too large");
+    }
     if (parser_.wants_continue()) {
       parser_.continued();
       channel.out().Add("HTTP/1.1 100 Continue\r\n\r\n");
@@ -256,7 +261,7 @@
   }
 
   Acceptor& acceptor_;
-  http::Parser parser_{http::Parser::Kind::kRequest};
+  http::Parser parser_;
   Timer timer_;
   State state_ = State::kReading;
   CallId call_ = 0;
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -30,6 +30,8 @@
   // reload is decided as the module's class of the same effect with the nearest deadline.
   std::vector<int> decided_as;
   std::vector<std::string> tenants = {};  // by their places in the settings
+  // For requests with long bodies; none: bodies of the usual size only.
+  std::shared_ptr<BodyMemory> long_bodies = nullptr;
 };
 
 class Acceptor final : private EventSink {
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -158,8 +158,14 @@
   if (root.isMember("console")) config.console = Address(root, "console");
   config.discovery = Address(root, "discovery");
   config.discovery_text = Text(root, "discovery");
-  config.sockets = static_cast<std::size_t>(Number(Member(root, "limits"), "sockets"));
+  const Json::Value& limits_told = Member(root, "limits");
+  config.sockets = static_cast<std::size_t>(Number(limits_told, "sockets"));
   if (config.sockets < 40) throw ConfigError("limits.sockets leaves no room to work");
+  if (limits_told.isMember("memory_mb")) {
+    double megabytes = Number(limits_told, "memory_mb");
+    if (!(megabytes >= 1)) throw ConfigError("limits.memory_mb leaves no room to work");
+    config.memory = static_cast<std::size_t>(megabytes) << 20;
+  }
   const Json::Value& settings = Member(root, "settings");
   std::string lines;
   Flatten("", settings, &lines);
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -32,6 +32,7 @@
   Endpoint discovery;
   std::string discovery_text;
   std::size_t sockets = 1024;
+  std::size_t memory = 0;  // bytes that the process may take; 0: not told
   WorkerList known;
   sandstand::Settings settings;
   std::string settings_text;  // the same as path=value lines, to tell whether they have changed
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -145,8 +145,11 @@
 
 // ---- Parser ----
 
-Parser::Parser(Kind kind, std::size_t body_limit)
-    : kind_(kind), body_limit_(body_limit), message_(std::make_unique<Message>()) {}
+Parser::Parser(Kind kind, std::size_t body_limit, std::shared_ptr<BodyMemory> long_bodies)
+    : kind_(kind),
+      body_limit_(body_limit),
+      long_bodies_(std::move(long_bodies)),
+      message_(std::make_unique<Message>()) {}
 
 std::span<char> Parser::Room() {
   if (done() || bad()) return {};
@@ -325,7 +328,7 @@
     }
     if (m.status_ == 204 || m.status_ == 304) return Finish(), false;
   }
-  if (length && *length > body_limit_) return Bad(413), false;
+  if (length && !BodyMayBe(*length)) return false;
   if (chunked) {
     state_ = State::kChunkSize;
   } else if (length) {
@@ -340,11 +343,22 @@
   return true;
 }
 
+// Whether the message at hand may have a body of `size` bytes. If not, it is bad.
+bool Parser::BodyMayBe(std::uint64_t size) {
+  if (size <= body_limit_) return true;
+  bool long_at_all = long_bodies_ != nullptr && size <= kLongBodyLimit;
+  if (!long_at_all) return Bad(413), false;
+  Message& message = *message_;
+  if (!message.long_body_.shares()) message.long_body_ = BodyMemory::Share(long_bodies_);
+  if (!message.long_body_.GrowTo(static_cast<std::size_t>(size) - body_limit_)) return Bad(503), false;
+  return true;
+}
+
 // Moves what has come of the body to the end of what is decoded; without chunks both are the same place.
 bool Parser::StepData() {
   std::size_t n = used_ - next_;
   if (state_ != State::kUntilEnd) n = std::min(n, remaining_);
-  if (state_ == State::kUntilEnd && body_end_ - message_->body_.at + n > body_limit_) return Bad(413), false;
+  if (state_ == State::kUntilEnd && !BodyMayBe(body_end_ - message_->body_.at + n)) return false;
   char* bytes = message_->bytes_.data();
   if (next_ != body_end_) std::memmove(bytes + body_end_, bytes + next_, n);
   next_ += n;
@@ -378,7 +392,10 @@
   } else if (state_ == State::kChunkSize) {
     auto size = ParseNumber(Trim(line.substr(0, line.find(';'))), 16);
     if (!size || HasControl(line, true)) return Bad(400), false;
-    if (*size > body_limit_ - (body_end_ - message_->body_.at)) return Bad(413), false;
+    std::size_t before = body_end_ - message_->body_.at;
+    // A size near the greatest number would wrap round.
+    if (*size > kListLimit) return Bad(413), false;
+    if (!BodyMayBe(before + *size)) return false;
     remaining_ = static_cast<std::size_t>(*size);
     state_ = remaining_ > 0 ? State::kChunkData : State::kTrailer;
   } else {
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "net/body_memory.hpp"
 #include "net/types.hpp"
 
 struct iovec;
@@ -19,7 +20,9 @@
 namespace dappletiller::http {
 
 constexpr std::size_t kHeadLimit = 16 * 1024;
-constexpr std::size_t kBodyLimit = 64 * 1024;  // of a request or an answer that passes through
+constexpr std::size_t kBodyLimit = 64 * 1024;  // of any request or answer that passes through
+// Of one that passes through while there is memory for what it has beyond kBodyLimit.
+constexpr std::size_t kLongBodyLimit = 1024 * 1024;
 constexpr std::size_t kListLimit =
     32 * 1024 * 1024;  // of discovery's: a whole list is some 170 bytes a server
 constexpr std::size_t kHeaderLimit = 100;
@@ -57,13 +60,16 @@
   int status_ = 0;
   bool keep_alive_ = true;
   std::vector<Header> headers_;
+  BodyMemory::Share long_body_;  // for what the body has beyond the parser's limit
 };
 using MessageRef = std::shared_ptr<const Message>;
 
 class Parser {
  public:
   enum class Kind { kRequest, kResponse };
-  explicit Parser(Kind kind, std::size_t body_limit = kBodyLimit);
+  // Bodies are bounded by `body_limit`, or by kLongBodyLimit while `long_bodies` has room for the rest.
+  explicit Parser(Kind kind, std::size_t body_limit = kBodyLimit,
+                  std::shared_ptr<BodyMemory> long_bodies = nullptr);
 
   // Where the next bytes go, and how many came. Empty: there is a message to be taken first.
   std::span<char> Room();
@@ -73,9 +79,10 @@
 
   bool done() const { return state_ == State::kDone; }
   bool bad() const { return state_ == State::kBad; }
-  int error_status() const { return error_; }  // 400, 413 or 431
-  bool begun() const { return used_ > 0; }     // part of a message is here
-  std::size_t held() const { return used_; }   // bytes of a message, and of what waits behind it
+  // 400, 413, 431, or 503: no memory for a long body is left now.
+  int error_status() const { return error_; }
+  bool begun() const { return used_ > 0; }    // part of a message is here
+  std::size_t held() const { return used_; }  // bytes of a message, and of what waits behind it
   bool wants_continue() const { return wants_continue_; }
   void continued() { wants_continue_ = false; }
   // Hands over the message and goes on with the bytes that follow it.
@@ -93,11 +100,13 @@
   bool ParseStartLine(std::string_view line, std::uint32_t at);
   bool ParseHeader(std::string_view line, std::uint32_t at);
   bool Frame(std::size_t head_end);
+  bool BodyMayBe(std::uint64_t size);
   void Bad(int status);
   void Finish();
 
   Kind kind_;
   std::size_t body_limit_;
+  std::shared_ptr<BodyMemory> long_bodies_;
   State state_ = State::kHead;
   int error_ = 0;
   std::unique_ptr<Message> message_;
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -32,7 +32,12 @@
 class WorkerLinks::Link final : public Channel::Owner {
  public:
   Link(WorkerLinks& links, WorkerId worker, const Endpoint& endpoint)
-      : worker(worker), endpoint(endpoint), timer(links.loop_), channel(links.loop_, *this), links_(links) {}
+      : worker(worker),
+        endpoint(endpoint),
+        timer(links.loop_),
+        channel(links.loop_, *this),
+        links_(links),
+        parser_(http::Parser::Kind::kResponse, http::kBodyLimit, links.long_bodies_) {}
 
   void Send(const Attempt& attempt) {
     key = attempt.key;
@@ -116,15 +121,22 @@
   }
 
   WorkerLinks& links_;
-  http::Parser parser_{http::Parser::Kind::kResponse};
+  http::Parser parser_;
   http::MessageRef request_;  // until it is in the channel's hands
   Micros wait_until_ = 0;
   bool written_ = false;
   bool reusable_ = false;
 };
 
-WorkerLinks::WorkerLinks(Loop& loop, Log& log, Gateway& gateway, Budget& budget, const WorkerLimits& limits)
-    : loop_(loop), log_(log), gateway_(gateway), budget_(budget), limits_(limits), fade_(loop) {
+WorkerLinks::WorkerLinks(Loop& loop, Log& log, Gateway& gateway, Budget& budget, const WorkerLimits& limits,
+                         std::shared_ptr<BodyMemory> long_bodies)
+    : loop_(loop),
+      log_(log),
+      gateway_(gateway),
+      budget_(budget),
+      limits_(limits),
+      long_bodies_(std::move(long_bodies)),
+      fade_(loop) {
   budget_.SetSpare(Budget::Side::kWorkers, [this] { return DropOneIdle(); });
 }
 
--- a/src/net/worker.hpp
+++ b/src/net/worker.hpp
@@ -22,7 +22,9 @@
 
 class WorkerLinks final : public Workers {
  public:
-  WorkerLinks(Loop& loop, Log& log, Gateway& gateway, Budget& budget, const WorkerLimits& limits);
+  // `long_bodies`: for answers with long bodies; none: bodies of the usual size only.
+  WorkerLinks(Loop& loop, Log& log, Gateway& gateway, Budget& budget, const WorkerLimits& limits,
+              std::shared_ptr<BodyMemory> long_bodies = nullptr);
   ~WorkerLinks();
 
   void Start(const Attempt& attempt) override;
@@ -61,6 +63,7 @@
   Gateway& gateway_;
   Budget& budget_;
   WorkerLimits limits_;
+  std::shared_ptr<BodyMemory> long_bodies_;
   std::unordered_map<WorkerId, Pool> pools_;
   std::unordered_map<AttemptKey, std::unique_ptr<Link>, AttemptKeyHash> busy_;
   std::size_t count_ = 0;
