Tell the module the process's own end apart from the client's deadline

Cause: after SIGTERM the acceptor cut each request's deadline at the time the process must have answered by (Conn::Call, `arrival.deadline = min(deadline, answer_by_)`). The module takes a request with less time left than others of its class get for a late try of a client that began long ago (AimOf): its aim was past, it was worth nothing any more, and the first sign of waiting that had ever been measured was reason to refuse it at once, with servers idle. Where a class has a lateWorth above 0 the effect is weaker (by reading, not run).

Change: the arrival carries `answer_by` beside the client's deadline.

Admission.AGatewaysOwnEndMakesNoRequestLookLate: failed with the aim counted from the cut deadline, and with the line that caps the aim taken out; passes with both.

--- a/include/sandstand/balancer.hpp
+++ b/include/sandstand/balancer.hpp
@@ -106,6 +106,7 @@
   int request_class = 0;
   int tenant = 0;
   Micros deadline = 0;   // when the client gives this try up
+  Micros answer_by = 0;  // when the gateway must have answered, however long the client waits; 0: no limit
   Micros work_hint = 0;  // expected work; meaningful if has_hint
   bool has_hint = false;
   bool client_retry = false;  // the client marked it as a repeat
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -849,7 +849,7 @@
     Request& request = requests_[e.id];
     request.id = e.id;
     request.request_class = e.request_class;
-    request.deadline = e.deadline;
+    request.deadline = e.answer_by == 0 ? e.deadline : std::min(e.deadline, e.answer_by);
     request.hinted = e.has_hint && e.work_hint > 0;
     if (request.hinted) NoteHint(e.work_hint);
     // Where no request tells its work it is counted in usual ones, and the pace learns how long those take.
@@ -860,6 +860,7 @@
     request.aged = request.work;
     request.age_every = std::max<Micros>(1, static_cast<Micros>(kAgeEvery * c.aim));
     request.aim_at = AimOf(e, c, request.work);
+    if (e.answer_by != 0) request.aim_at = std::min(request.aim_at, e.answer_by);
     request.worth = WorthOf(e, c, request);
     extra_ = std::min(kExtraBurst, extra_ + kExtraShare);
     alarms_.insert({request.deadline - set_.tick, Alarm::kDeadline, request.id});
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -210,7 +210,7 @@
     }
     // The client's time runs from its sending, so a request that came slowly has less of it left.
     arrival.deadline = began_ + patience;
-    if (acceptor_.answer_by_ != 0) arrival.deadline = std::min(arrival.deadline, acceptor_.answer_by_);
+    arrival.answer_by = acceptor_.answer_by_;
     if (auto hint = request->Find("Work-Hint")) {
       Micros work = 0;
       auto [end, failed] = std::from_chars(hint->data(), hint->data() + hint->size(), work);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -129,6 +129,7 @@
   event.request_class = arrival.call_class;
   event.tenant = arrival.tenant;
   event.deadline = arrival.deadline;
+  event.answer_by = arrival.answer_by;
   event.work_hint = arrival.work_hint.value_or(0);
   event.has_hint = arrival.work_hint.has_value();
   event.client_retry = arrival.client_retry;
@@ -370,8 +371,8 @@
   Ended(key, AttemptEnd::kGivenUp, nullptr);
 }
 
-// Each request for a wake-up replaces the one before it, also when the earlier one is due and has not run yet:
-// an event that is handled after its due time runs the module's alarms and asks for the next of them.
+// Each request for a wake-up replaces the one before it, also when the earlier one is due and has not run
+// yet: an event that is handled after its due time runs the module's alarms and asks for the next of them.
 void Gateway::Carry(const sandstand::WakeAfter& action) {
   wake_.Set(action.delay, [this] { Deliver(sandstand::TimerFired{}); });
 }
--- a/src/net/types.hpp
+++ b/src/net/types.hpp
@@ -39,6 +39,9 @@
   std::optional<Micros> work_hint;
   bool client_retry = false;
   PayloadRef payload;
+  // When this process must have answered, since it may be gone after that; 0: no such limit. Told apart from
+  // the client's deadline, which says how long the client has been trying.
+  Micros answer_by = 0;
 };
 
 // The side that waits for a call's one final answer. Exactly one of these is called, once.
--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -456,5 +456,37 @@
   }
 }
 
+// A gateway that is about to end answers sooner than its clients give up. Were that its requests' deadline,
+// each would be taken for one that began long ago, and refused though there is time; were it nothing to their
+// aim, one would be sent that can't be answered any more.
+TEST(Admission, AGatewaysOwnEndMakesNoRequestLookLate) {
+  struct Case {
+    Micros deadline, answer_by;
+    bool sent;
+  };
+  for (const Case& c : {Case{2500 * kMs, 1500 * kMs, true}, Case{1500 * kMs, 0, false},
+                        Case{1500 * kMs, 1500 * kMs, false}, Case{2500 * kMs, 300 * kMs, false}}) {
+    Gateway g(BasicSettings());
+    g.List({Entry(1)});
+    for (RequestId id = 1; id <= 100; ++id) {
+      g.now += 30 * kMs;
+      g.Arrive(id, kShort, kSafeClass, 2500 * kMs);
+      g.End(id, Outcome::kServed, 0, kShort);
+    }
+    Stick(g, 300 * kMs);
+    RequestArrived e;
+    e.id = 101;
+    e.request_class = kSafeClass;
+    e.deadline = g.now + c.deadline;
+    e.answer_by = c.answer_by == 0 ? 0 : g.now + c.answer_by;
+    e.work_hint = kShort;
+    e.has_hint = true;
+    g.Do(e);
+    EXPECT_EQ(g.Sent(101), c.sent) << c.deadline << " " << c.answer_by;
+    if (!c.sent) continue;
+    EXPECT_EQ(g.sends.back().timeout, c.answer_by);
+  }
+}
+
 }  // namespace
 }  // namespace sandstand::testing
