Force the rest of a large request past its window, and state what the kernel still delivers

Lead: the timer that takes back an attempt at the end of its window runs after the round's events, so a process that stood still might write the rest of a large request first. Ruled out: Channel::Flush asks Gateway::MayWrite before each write, and that asks the clock and the client. The server meets a part of the request and the end behind it.

No code changed. Forced by a small send buffer at the proxy's end and a small receive buffer at the server's, which reads again, with room for all the rest, while the loop stands still past the window.

Mutations under which these tests were seen to fail, each undone: - Channel::Flush does not ask MayWrite: "the rest of a repeat", "the rest of a request" (the server had the whole request); - MayWrite does not look at write_by: "the rest of a repeat"; - MayWrite does not ask whether the client has gone: "the rest of a request"; - WorkerLinks::Withdraw takes back what is written: "a repeat that the kernel has whole"; - WorkerLinks::Discard ends with a reset: "a request that the kernel has whole".

--- a/tests/net/late_bytes_test.cpp
+++ b/tests/net/late_bytes_test.cpp
@@ -1,4 +1,8 @@
-// Bytes that come late: a request after its process was told to end.
+// Bytes that come late: a request after its process was told to end, the rest of a request after the time in
+// which it may be written.
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <csignal>
 #include <string>
 
@@ -8,6 +12,50 @@
 namespace dappletiller::testing {
 namespace {
 
+const std::string kLastBytes = "the last bytes";
+const std::string kLargeBody = std::string(60'000, 'x') + kLastBytes;
+
+// Waits for a condition while the proxy's loop stands still.
+void Outside(const char* what, const std::function<bool()>& holds) {
+  Loop clock;
+  Micros end = clock.Now() + kBound;
+  while (!holds()) {
+    INFO("waiting until " << std::string(what));
+    REQUIRE(clock.Now() < end);
+    ::poll(nullptr, 0, 1);
+  }
+}
+
+void Buffer(int fd, int which, int bytes) {
+  REQUIRE(::setsockopt(fd, SOL_SOCKET, which, &bytes, sizeof bytes) == 0);
+}
+
+// The proxy runs in the test's process: this is its end of its one connection to an upstream server.
+int ProxysEnd(const Host& host) {
+  int found = -1;
+  for (int fd = 0; fd < 1024; ++fd) {
+    sockaddr_in to{};
+    socklen_t size = sizeof to;
+    if (::getpeername(fd, reinterpret_cast<sockaddr*>(&to), &size) != 0) continue;
+    if (to.sin_family != AF_INET || ntohs(to.sin_port) != host.port) continue;
+    REQUIRE(found == -1);
+    found = fd;
+  }
+  REQUIRE(found >= 0);
+  return found;
+}
+
+// Bytes that the kernel has from the proxy and the upstream server's kernel has not taken.
+int Unsent(int fd) {
+  int bytes = 0;
+  REQUIRE(::ioctl(fd, SIOCOUTQ, &bytes) == 0);
+  return bytes;
+}
+
+constexpr int kSmallBuffer = 4'096;    // a large body does not fit into it
+constexpr int kLargeBuffer = 200'000;  // a large body fits into it whole
+constexpr int kMostlyUnsent = 30'000;  // far more than two small buffers hold
+
 // ---- On the way out ----
 
 // The process must have answered by its own end, which is no sign that a client has tried for long. Were the
@@ -79,5 +127,112 @@
   CHECK(program.Wait() == 0);
 }
 
+// ---- The rest of a request ----
+
+std::string LargeOpen(const std::string& id) {
+  return "POST /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+         "\r\nRequest-Class: open\r\nIdempotency-Key: k1\r\nRequest-Timeout: 15000m\r\nContent-Length: " +
+         std::to_string(kLargeBody.size()) + "\r\n\r\n" + kLargeBody;
+}
+
+void Pour(Rig& rig, Peer& client, std::string_view bytes) {
+  rig.Until("all is sent", [&] {
+    bytes.remove_prefix(client.Try(bytes));
+    return bytes.empty();
+  });
+}
+
+// A keyed request that failed at one server and is now repeated at a second one, which does not read. What
+// the second one's connection takes at once is up to `room`.
+struct Repeat {
+  explicit Repeat(int room) : rig(RulesWithWindow()), client(rig.Client()) {
+    Buffer(second.fd(), SO_RCVBUF, kSmallBuffer);  // inherited by what it accepts
+    rig.Know({&first});
+    Pour(rig, client, LargeOpen("a1"));
+    Peer& at = rig.Request(first, "a1");
+    sent_by = rig.loop.Now();
+    rig.Hears(at, kLastBytes);
+    rig.Know({&second}, WorkerList::Kind::kChanges);
+    rig.Know({&first}, WorkerList::Kind::kChanges, WorkerState::kDraining);
+    at.Say(Answer(500));  // it may have run
+    rig.Until("the repeat is dialled", [&] { return rig.workers.connections() == 2; });
+    Outside("the connection is up", [&] { return second.Accept(); });
+    proxys_end = ProxysEnd(second);
+    Buffer(proxys_end, SO_SNDBUF, room);
+    rig.Until("it is written as far as it goes", [&] { return Unsent(proxys_end) > 0; });
+    REQUIRE(rig.loop.Now() < sent_by + kWindow);
+  }
+  Peer& server() { return second.peers[0]; }
+  // The server reads again, and there is room for all the rest, while the loop stands still.
+  void MakeRoom() {
+    Buffer(proxys_end, SO_SNDBUF, kLargeBuffer);
+    Outside("what lies in the kernel is read", [&] { return server().Heard(), Unsent(proxys_end) == 0; });
+    REQUIRE_FALSE(server().Has(kLastBytes));
+  }
+  static sandstand::Settings RulesWithWindow() {
+    sandstand::Settings rules = Rules();
+    rules.classes[2].window = kWindow;
+    return rules;
+  }
+
+  static constexpr Micros kWindow = 2'000 * kMs;
+  Rig rig;
+  Host first, second;
+  Peer client;
+  Micros sent_by = 0;  // the first attempt, at the latest
+  int proxys_end = -1;
+};
+
+// A process that stood still handles the server's reading before the timer that ends the window. Were the
+// rest written then, the server would run what it may have forgotten to have run before.
+TEST_CASE(
+    "the rest of a repeat is not written after its window, though there is room before the timer runs") {
+  Repeat repeat(kSmallBuffer);
+  Outside("the window is over", [&] { return repeat.rig.loop.Now() > repeat.sent_by + Repeat::kWindow; });
+  repeat.MakeRoom();
+  repeat.rig.Hears(repeat.client, "HTTP/1.1 502 ");
+  repeat.rig.Until("the server meets the end", [&] { return repeat.server().Ended(); });
+  CHECK_FALSE(repeat.server().Has(kLastBytes));
+  Settles(repeat.rig);
+}
+
+// The same for a client whose end lies in the kernel behind the server's reading.
+TEST_CASE("the rest of a request is not written once its client has gone, though there is room for it") {
+  Repeat repeat(kSmallBuffer);
+  repeat.MakeRoom();
+  repeat.client.Close();
+  repeat.rig.Until("the server meets the end", [&] { return repeat.server().Ended(); });
+  CHECK_FALSE(repeat.server().Has(kLastBytes));
+  Settles(repeat.rig);
+}
+
+// What the kernel has whole can't be called back: it has been sent, even if the server reads it only after
+// the window, and its answer is the client's.
+TEST_CASE("a repeat that the kernel has whole when its window ends has been sent and goes on") {
+  Repeat repeat(kLargeBuffer);
+  REQUIRE(Unsent(repeat.proxys_end) > kMostlyUnsent);
+  repeat.rig.Until("the window is over",
+                   [&] { return repeat.rig.loop.Now() > repeat.sent_by + Repeat::kWindow; });
+  for (int i = 0; i < 3; ++i) repeat.rig.loop.Round(0);
+  REQUIRE_FALSE(repeat.client.Has("HTTP/1.1 "));
+  repeat.rig.Hears(repeat.server(), kLastBytes);
+  repeat.server().Say(Answer(200, "made of the repeat"));
+  repeat.rig.Hears(repeat.client, "made of the repeat");
+  Settles(repeat.rig);
+}
+
+// An attempt that is called off ends by closing its connection. The kernel still delivers what it has: the
+// server meets the request whole, and the end right behind it.
+TEST_CASE(
+    "a request that the kernel has whole arrives whole after it was called off, and the end behind it") {
+  Repeat repeat(kLargeBuffer);
+  REQUIRE(Unsent(repeat.proxys_end) > kMostlyUnsent);
+  repeat.client.Close();
+  Settles(repeat.rig);
+  CHECK(repeat.rig.workers.connections() <= 1);  // the first one's may still be there
+  repeat.rig.Until("the server meets the end", [&] { return repeat.server().Ended(); });
+  CHECK(repeat.server().Has(kLastBytes));
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
