Leave out a second answer that was read before the next request had arrived

Cause: on a kept connection WorkerLinks::Link took whatever answer came once the request was written whole to the kernel (written_) for the answer to it. A second answer to the request before it, read while the request was still on its way, went to the wrong client. The same where the second answer began before the request was written whole and ended after: written_ was looked at only at its end.

Change: a server begins a request at its last byte, and all that it sends from then on acknowledges that byte. An answer whose first byte is read while the request is not acknowledged whole (SIOCOUTQ), or not all given to the kernel, was therefore made for an earlier one. It is left out, the server's connections rest as after any second answer, and the attempt goes on waiting, since the request may run there; if the stream has ended, the attempt ends as one that may have run. One ioctl for an answer.

What is not told apart, docs/design/endings.md (Late bytes): what the server sends after its kernel has the next request, what is read only after the acknowledgement has come, and a second refusal.

Measured before the change: "a second answer that is read before the next request has arrived reaches nobody" failed in each of the three forms it then had (the client had a 200 which was not "made of the second"; the server had sent no other than "made of the first"); the fourth form failed with the change switched off. After it all four forms pass.

"a second answer that is here before the next request goes out" passed without the change (Channel::Stale in TakeIdle, Link::Look while idle).

Mutations under which the tests were seen to fail, each undone: - Unacknowledged does not ask the kernel: "whole" and "begun, and the request is written whole"; - Unacknowledged does not look at what the kernel was not given: "begun, and the request is written in part, all of which has arrived"; - the attempt ends instead of waiting on: all four forms; - it waits on behind the end of the stream: "a second answer that ends with its stream"; - bytes on an idle connection are left there: "a second answer that is here", handled first; - TakeIdle does not ask Stale: nothing fails, since the change catches it too; with neither, "a second answer that is here", the request handled first.

Ran: all of dappletiller_net_tests (134 of 134 passed), the tests of this file several times.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -1,9 +1,11 @@
 #include "net/channel.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -142,6 +144,11 @@
   return ::poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool Channel::Unacknowledged() const {
+  int bytes = 0;
+  return !out_.empty() || (::ioctl(fd_.get(), SIOCOUTQ, &bytes) == 0 && bytes > 0);
+}
+
 int Channel::TakeError() {
   int error = 0;
   socklen_t size = sizeof error;
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -49,6 +49,10 @@
   bool Stale();
   // Whether the other side has ended or broken the stream, also where that lies behind unread bytes.
   bool PeerEnded() const;
+  // Whether the other side's kernel is not known to have all that is to be written. What the other side sends
+  // once it has the last byte acknowledges that byte too: bytes that are read while this holds were sent
+  // before.
+  bool Unacknowledged() const;
   void EndSending();  // half-close
   void Close();
   void Break();  // closes so that the other side meets a reset, not an end
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -38,6 +38,7 @@
     key = attempt.key;
     busy = true;
     written_ = false;
+    crossed_ = false;
     // The payload is ours: this is the only protocol whose calls reach these links.
     request_ = std::static_pointer_cast<const http::Message>(attempt.payload);
     wait_until_ = links_.loop_.Now() + attempt.wait;
@@ -57,6 +58,7 @@
   void OnWritten() override { written_ = true; }
 
   void OnBytes(std::size_t n) override {
+    if (busy && !parser_.begun()) crossed_ = channel.Unacknowledged();
     parser_.Got(n);
     Look();
   }
@@ -108,6 +110,13 @@
     reusable_ = answer->keep_alive() && written_ && !parser_.begun();
     if (parser_.begun()) links_.NoteSurplus(worker);
     AttemptEnd end = Judge(*answer);
+    // The request may run there, so it is not sent elsewhere for this: its own answer follows, or is here.
+    if (crossed_ && written_ && end == AttemptEnd::kAnswered) {
+      links_.NoteSurplus(worker);
+      crossed_ = false;
+      if (channel.open()) return Look();
+      end = AttemptEnd::kReset;
+    }
     // A worker begins a request once its last byte has arrived. Guards against serving what was made for an
     // earlier one: before that byte only a refusal can be meant for this.
     if (!written_ && end != AttemptEnd::kTurnedAway) end = AttemptEnd::kUnreachable;
@@ -120,6 +129,9 @@
   http::MessageRef request_;  // until it is in the channel's hands
   Micros wait_until_ = 0;
   bool written_ = false;
+  // The answer at hand began before the worker's kernel had all of the request: it was made for an earlier
+  // one, and the client would get what belongs to somebody else.
+  bool crossed_ = false;
   bool reusable_ = false;
 };
 
--- a/tests/net/late_bytes_test.cpp
+++ b/tests/net/late_bytes_test.cpp
@@ -1,5 +1,5 @@
 // Bytes that come late: a request after its process was told to end, the rest of a request after the time in
-// which it may be written.
+// which it may be written, a second answer to an earlier request.
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
@@ -52,6 +52,12 @@
   return bytes;
 }
 
+int Unread(int fd) {
+  int bytes = 0;
+  REQUIRE(::ioctl(fd, FIONREAD, &bytes) == 0);
+  return bytes;
+}
+
 constexpr int kSmallBuffer = 4'096;    // a large body does not fit into it
 constexpr int kLargeBuffer = 200'000;  // a large body fits into it whole
 constexpr int kMostlyUnsent = 30'000;  // far more than two small buffers hold
@@ -234,5 +240,109 @@
   CHECK(repeat.server().Has(kLastBytes));
 }
 
+// ---- A second answer ----
+
+// Serves one request and leaves its connection to be used again.
+Peer& ServeFirst(Rig& rig, Host& worker, Peer& client) {
+  client.Say(Check("a1"));
+  Peer& at = rig.Request(worker, "a1");
+  at.Say(Answer(200, "made of the first"));
+  rig.Hears(client, "made of the first");
+  Settles(rig);
+  client.text.clear();
+  return at;
+}
+
+// Whichever of the two is handled first: the connection is closed for the bytes that nobody asked for, or
+// they are seen when it would be used again.
+TEST_CASE("a second answer that is here before the next request goes out reaches nobody") {
+  bool request_first = false;
+  SUBCASE("the next request is handled first") { request_first = true; }
+  SUBCASE("the second answer is handled first") { request_first = false; }
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  Peer& at = ServeFirst(rig, worker, client);
+  int proxys_end = ProxysEnd(worker);
+  if (request_first) client.Say(Pay("a2"));
+  at.Say(Answer(200, "made of the first"));
+  Outside("the second answer is here", [&] { return Unread(proxys_end) > 0; });
+  if (!request_first) client.Say(Pay("a2"));
+  rig.Request(worker, "a2").Say(Answer(200, "made of the second"));
+  rig.Hears(client, "HTTP/1.1 200 ");
+  rig.Hears(client, "made of the second");
+  CHECK_FALSE(client.Has("made of the first"));
+  Settles(rig);
+}
+
+// A server begins a request once its last byte has arrived there, and whatever it sends from then on
+// acknowledges that byte. An answer that is read while the byte is not acknowledged was made for an earlier
+// request; passed on, the client would have what belongs to somebody else.
+TEST_CASE("a second answer that is read before the next request has arrived reaches nobody") {
+  const std::string second = Answer(200, "made of the first");
+  std::size_t early = second.size();  // of its bytes: read before the request has arrived
+  int room = kLargeBuffer;
+  bool rest_waits = false;  // in the proxy, with all that its kernel had taken
+  SUBCASE("whole, and the request is written whole") {}
+  SUBCASE("begun, and the request is written whole") { early = 20; }
+  SUBCASE("begun, and the request is written in part") {
+    early = 20;
+    room = kSmallBuffer;
+  }
+  SUBCASE("begun, and the request is written in part, all of which has arrived") {
+    early = 20;
+    room = kSmallBuffer;
+    rest_waits = true;
+  }
+  Rig rig;
+  Host worker;
+  Buffer(worker.fd(), SO_RCVBUF, kSmallBuffer);  // inherited by what it accepts
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  Peer& at = ServeFirst(rig, worker, client);
+  int proxys_end = ProxysEnd(worker);
+  Buffer(proxys_end, SO_SNDBUF, room);
+  Pour(rig, client, Pay("a2", kLargeBody));
+  rig.Until("it is written as far as it goes",
+            [&] { return Unsent(proxys_end) > (room == kLargeBuffer ? kMostlyUnsent : 0); });
+  if (rest_waits) {
+    Outside("what is written is read", [&] { return at.Heard(), Unsent(proxys_end) == 0; });
+    REQUIRE(at.text.find(kLastBytes) == std::string::npos);
+  }
+  at.Say(second.substr(0, early));
+  Outside("the second answer is here", [&] { return Unread(proxys_end) > 0; });
+  rig.Until("the second answer is read", [&] { return Unread(proxys_end) == 0; });
+  for (int i = 0; i < 3; ++i) rig.loop.Round(0);
+  CHECK_FALSE(client.Has("HTTP/1.1 "));
+  rig.Hears(at, kLastBytes);
+  at.Say(second.substr(early) + Answer(200, "made of the second"));
+  rig.Hears(client, "HTTP/1.1 200 ");
+  rig.Hears(client, "made of the second");
+  CHECK_FALSE(client.Has("made of the first"));
+  Settles(rig);
+}
+
+// Nothing follows behind the end of the stream: an attempt that went on waiting would hold its request until
+// the deadline.
+TEST_CASE("a second answer that ends with its stream before the next request has arrived ends the attempt") {
+  Rig rig;
+  Host worker;
+  Buffer(worker.fd(), SO_RCVBUF, kSmallBuffer);  // inherited by what it accepts
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  Peer& at = ServeFirst(rig, worker, client);
+  int proxys_end = ProxysEnd(worker);
+  Buffer(proxys_end, SO_SNDBUF, kLargeBuffer);
+  Micros begun = rig.loop.Now();
+  Pour(rig, client, Pay("a2", kLargeBody));
+  rig.Until("it is written whole", [&] { return Unsent(proxys_end) > kMostlyUnsent; });
+  at.Say("HTTP/1.1 200 OK\r\n\r\nmade of the first");
+  at.EndSending();
+  rig.Hears(client, "HTTP/1.1 502 ");            // it may run there
+  CHECK(rig.loop.Now() < begun + 10'000 * kMs);  // the client's time is 15 s
+  Settles(rig);
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
