--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -221,7 +221,7 @@
     }
     // A request's time runs from its last byte, however slowly it came and whatever it waited behind.
     arrival.deadline = last_byte_at_ + patience;
-    if (acceptor_.answer_by_ != 0) arrival.deadline = std::min(arrival.deadline, acceptor_.answer_by_);
+    arrival.answer_by = acceptor_.answer_by_;
     if (auto hint = request->Find("Work-Hint")) {
       Micros work = 0;
       auto [end, failed] = std::from_chars(hint->data(), hint->data() + hint->size(), work);
