Cut a client off only when it takes nothing more of its answer

Cause: the acceptor's time for writing ran from the start of an answer (Conn::Answering, kWriteTime). A client that took its answer slowly but steadily was cut off half-way by the proxy itself, which is a lost request. The same with an answer that the kernel still held: the connection was closed kLinger (1 s) after the last write, or kIdleTime (2.1 s) on a kept one, and the client's next byte then met a closed socket, so that the kernel reset the connection and dropped the rest.

Change: each of the three times starts anew while the client takes something of what was written; what it has taken is what its machine has acknowledged (Channel::Undelivered: ours, and the kernel's by SIOCOUTQ). The times for writing and lingering are options of the acceptor; their values stay. A client that takes nothing is cut off as before, at the latest one such time later than it last took something.

Measured (Debug, loopback): new tests in answer_delivery_test.cpp. "a client that takes its answer slowly but steadily" and "an answer that the kernel still holds" (both kinds) failed with the code before and pass now. Seen to fail again: without the progress rule in EndUnlessTaken (both), without SIOCOUTQ (the second), without the timer in WriteOut ("a client that takes nothing").

--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -23,8 +23,6 @@
 // close within 3 s of connecting (the later days' page, Bad clients).
 constexpr Micros kHeadTime = 2'400'000;
 constexpr Micros kIdleTime = 2'100'000;    // without any request; it may end after 2 s (there, The long day)
-constexpr Micros kWriteTime = 10'000'000;  // for a client to take its answer
-constexpr Micros kLinger = 1'000'000;      // for a client to read why we close
 constexpr Micros kTellEvery = 10'000'000;  // that connections were ended early
 constexpr std::size_t kWaste = 64 * 1024;  // read at once of what is thrown away
 // Kept of what a client sends ahead of its answer: one request of the greatest size, or many small ones.
@@ -55,7 +53,7 @@
       Micros left = fresh_ ? began_ + kHeadTime - acceptor_.loop_.Now() : kHeadTime;
       timer_.Set(left, [this] { Reject(408, "the request took too long to arrive"); });
     } else {
-      timer_.Set(kIdleTime, [this] { Leave(); });
+      EndUnlessTaken(kIdleTime);
     }
   }
 
@@ -98,7 +96,7 @@
       state_ = State::kClosing;
       channel.EndSending();
       acceptor_.room_.ToldToGo(id);
-      timer_.Set(kLinger, [this] { acceptor_.Drop(*this); });
+      EndUnlessTaken(acceptor_.options_.linger_for);
       channel.Resume();
       return;
     }
@@ -122,7 +120,7 @@
     auto message = std::static_pointer_cast<const http::Message>(std::move(answer));
     Answering();
     http::WriteAnswer(message, keep_, &channel.out());
-    channel.Flush();
+    WriteOut();
   }
   void Rejected(Micros retry_after) override { Say(503, "overloaded, try again later", retry_after); }
   void Failed() override { Say(502, "no worker answered", 0); }
@@ -234,13 +232,31 @@
     if (state_ == State::kWaiting) CloseCall();
     state_ = State::kWriting;
     if (acceptor_.draining_ || acceptor_.lameduck_ || acceptor_.room_.LastAnswer(id)) keep_ = false;
-    timer_.Set(kWriteTime, [this] { acceptor_.Drop(*this); });
+  }
+
+  void WriteOut() {
+    EndUnlessTaken(acceptor_.options_.write_for);
+    channel.Flush();
+  }
+
+  // Ends the connection once its client has taken nothing of its answers for `span`, or has them all and is
+  // silent. Counted from the start of writing, the time would cut off a client that takes a long answer
+  // slowly but steadily. Closed while the kernel still holds part of an answer, the connection would be reset
+  // by the client's next byte, and that part lost.
+  void EndUnlessTaken(Micros span) {
+    std::size_t before = channel.Undelivered();
+    timer_.Set(span, [this, span, before] {
+      std::size_t left = channel.Undelivered();
+      if (left > 0 && left < before) return EndUnlessTaken(span);
+      if (state_ == State::kWriting) return acceptor_.Drop(*this);
+      Leave();
+    });
   }
 
   void Say(int status, std::string_view text, Micros retry_after) {
     Answering();
     http::WriteStatus(status, text, retry_after, keep_, &channel.out());
-    channel.Flush();
+    WriteOut();
   }
 
   void Reject(int status, std::string_view text) {
--- a/src/net/acceptor.hpp
+++ b/src/net/acceptor.hpp
@@ -30,6 +30,10 @@
   // reload is decided as the module's class of the same effect with the nearest deadline.
   std::vector<int> decided_as;
   std::vector<std::string> tenants = {};  // by their places in the settings
+  // A client that takes nothing of its answer for this long is cut off; the second one holds once the kernel
+  // has all of a last answer, and is also the time for the client to read it.
+  Micros write_for = 10'000'000;
+  Micros linger_for = 1'000'000;
 };
 
 class Acceptor final : private EventSink {
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -1,9 +1,11 @@
 #include "net/channel.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -142,6 +144,12 @@
   return ::poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+std::size_t Channel::Undelivered() const {
+  int in_kernel = 0;
+  if (open()) ::ioctl(fd_.get(), SIOCOUTQ, &in_kernel);
+  return out_.size() + static_cast<std::size_t>(in_kernel);
+}
+
 int Channel::TakeError() {
   int error = 0;
   socklen_t size = sizeof error;
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -49,6 +49,9 @@
   bool Stale();
   // Whether the other side has ended or broken the stream, also where that lies behind unread bytes.
   bool PeerEnded() const;
+  // Of what was to be written, the bytes that the other side's machine has not acknowledged: ours and the
+  // kernel's.
+  std::size_t Undelivered() const;
   void EndSending();  // half-close
   void Close();
   void Break();  // closes so that the other side meets a reset, not an end
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -442,6 +442,12 @@
   }
 }
 
+std::size_t Outbox::size() const {
+  std::size_t bytes = 0;
+  for (const Piece& p : pieces_) bytes += p.view.size();
+  return bytes;
+}
+
 std::string Outbox::Text() const {
   std::string text;
   for (const Piece& p : pieces_) text += p.view;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -118,6 +118,7 @@
   void AddOwned(std::string text);
   void AddView(std::string_view view, std::shared_ptr<const void> owner);
   bool empty() const { return pieces_.empty(); }
+  std::size_t size() const;  // in bytes
   int Gather(iovec* to, int most) const;
   void Consume(std::size_t n);
   std::string Text() const;  // all that is left, for tests
--- /dev/null
+++ b/tests/net/answer_delivery_test.cpp
@@ -0,0 +1,127 @@
+// Each request that the proxy has taken ends in one whole answer: however slowly its client takes it,
+// whatever the upstream server does half-way, and also when the connection or the process ends right behind
+// it.
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+
+#include "program.hpp"
+#include "support.hpp"
+
+namespace dappletiller::testing {
+namespace {
+
+constexpr int kSmallBuffer = 4096;
+constexpr std::size_t kPiece = 4096;
+
+// A long answer's body: much more than small buffers hold.
+std::string LongBody() { return std::string(60'000, 'x') + "z"; }
+
+// From now on clients connect through a listener whose connections' kernel buffers hold little of an answer,
+// so that the proxy keeps the rest until the client has taken some.
+void ServeThroughSmallBuffers(Rig& rig) {
+  Host host;
+  REQUIRE(::setsockopt(host.fd(), SOL_SOCKET, SO_SNDBUF, &kSmallBuffer, sizeof kSmallBuffer) == 0);
+  rig.acceptor.StopAccepting();
+  rig.acceptor.Inherit(::dup(host.fd()));
+}
+
+bool IsWhole(const Peer& client, std::string_view body) {
+  return client.text.find(body) != std::string::npos;
+}
+
+// Takes a piece of the answer each `pause` until it is whole or the connection has ended, and returns how
+// long that took.
+Micros TakeSteadily(Rig& rig, Peer& client, std::string_view body, Micros pause) {
+  Micros began = rig.loop.Now();
+  Micros next = began;
+  rig.Until("the answer is whole or cut", [&] {
+    if (rig.loop.Now() >= next) {
+      client.Take(kPiece);
+      next = rig.loop.Now() + pause;
+    }
+    return client.ended || IsWhole(client, body);
+  });
+  return rig.loop.Now() - began;
+}
+
+// ---- A client that takes its answer slowly ----
+
+// Were the time counted from the start of writing, the proxy itself would end an answer half given, which is
+// a lost request. The client never waits as long as the time allowed between two pieces, but far longer in
+// all.
+TEST_CASE("a client that takes its answer slowly but steadily is given the whole of it") {
+  constexpr Micros kWriteFor = 1'000 * kMs;
+  Rig rig(Rules(), kBound, 64, 8, 64, false, kWriteFor);
+  ServeThroughSmallBuffers(rig);
+  Host worker;
+  rig.Know({&worker});
+  Peer client = Peer::Dial(rig.acceptor.port(), kSmallBuffer);
+  client.Say(Check("a1"));
+  rig.Request(worker, "a1").Say(Answer(200, LongBody()));
+  Micros took = TakeSteadily(rig, client, LongBody(), kWriteFor / 8);
+  CHECK(IsWhole(client, LongBody()));
+  CHECK(took > kWriteFor);  // or it would not have shown anything
+}
+
+// Such a client would otherwise hold one of the proxy's connections for good.
+TEST_CASE("a client that takes nothing of its answer is cut off, and can tell") {
+  constexpr Micros kWriteFor = 100 * kMs;
+  Rig rig(Rules(), kBound, 64, 8, 64, false, kWriteFor);
+  ServeThroughSmallBuffers(rig);
+  Host worker;
+  rig.Know({&worker});
+  Peer client = Peer::Dial(rig.acceptor.port(), kSmallBuffer);
+  client.Say(Check("a1"));
+  rig.Request(worker, "a1").Say(Answer(200, LongBody()));
+  rig.Until("its connection is closed", [&] { return rig.acceptor.connections() == 0; });
+  rig.Until("it has met the end", [&] { return client.Ended(); });
+  CHECK(client.Has("Content-Length: " + std::to_string(LongBody().size()) + "\r\n"));
+  CHECK_FALSE(IsWhole(client, LongBody()));
+}
+
+// The proxy has written all of the answer, and its kernel still holds most of it. Were the connection closed
+// then, as one that lingers or is idle, the client's next bytes would meet a closed socket: the kernel resets
+// it and drops the rest.
+TEST_CASE("an answer that the kernel still holds is not lost to what its client sends meanwhile") {
+  constexpr Micros kLingerFor = 600 * kMs;
+  constexpr Micros kIdleFor = 2'100 * kMs;  // the acceptor's own
+  bool last = false;
+  SUBCASE("a last answer, on a connection that is to end") { last = true; }
+  SUBCASE("an answer on a connection that is kept") { last = false; }
+  const Micros ends_after = last ? kLingerFor : kIdleFor;
+  Rig rig(Rules(), kBound, 64, 8, 64, false, kBound, kLingerFor);
+  Host worker;
+  rig.Know({&worker});
+  Peer client = Peer::Dial(rig.acceptor.port(), kSmallBuffer);
+  client.Say(Check("a1"));
+  Peer& at = rig.Request(worker, "a1");
+  if (last) rig.acceptor.Drain(rig.loop.Now() + kBound);
+  at.Say(Answer(200, LongBody()));
+  const Micros says_at = rig.loop.Now() + ends_after + ends_after / 4;
+  bool said = false;
+  Micros next = 0;
+  rig.Until("the answer is whole or cut", [&] {
+    Micros now = rig.loop.Now();
+    if (now >= next) {
+      client.Take(kPiece);
+      next = now + (said ? 0 : ends_after / 8);
+    }
+    if (!said && now >= says_at) {
+      CHECK_FALSE(IsWhole(client, LongBody()));
+      client.Say("GET /up HTTP/1.1\r\n\r\n");
+      said = true;
+    }
+    return client.ended || IsWhole(client, LongBody());
+  });
+  CHECK(said);
+  CHECK(IsWhole(client, LongBody()));
+  CHECK(client.Has("Connection: close\r\n") == last);
+  if (!last) return rig.Hears(client, "\r\n\r\nup");
+  rig.Until("the connection goes once the client has it all",
+            [&] { return rig.acceptor.connections() == 0; });
+}
+
+}  // namespace
+}  // namespace dappletiller::testing
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -30,8 +30,12 @@
 class Peer {
  public:
   explicit Peer(Fd fd) : fd_(std::move(fd)) {}
-  static Peer Dial(std::uint16_t port) {
+  // `receive_buffer`: bytes that its kernel keeps for it; 0: the kernel's choice.
+  static Peer Dial(std::uint16_t port, int receive_buffer = 0) {
     Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    if (receive_buffer != 0) {
+      REQUIRE(::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer) == 0);
+    }
     sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_addr.s_addr = htonl(kLoopback);
@@ -45,6 +49,14 @@
     return n > 0 ? static_cast<std::size_t>(n) : 0;
   }
   void Say(std::string_view text) { ::send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL); }
+  // Takes some of what has come, at most `most` bytes; the rest stays in the kernel.
+  void Take(std::size_t most) {
+    std::string bytes(most, '\0');
+    ssize_t n = ::recv(fd_.get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (n > 0) text.append(bytes, 0, static_cast<std::size_t>(n));
+    reset = reset || (n < 0 && errno == ECONNRESET);
+    ended = ended || n == 0 || reset;
+  }
   // Takes what has come; `ended` turns true once the other side has closed or reset.
   const std::string& Heard() {
     char bytes[4096];
@@ -152,7 +164,8 @@
 class Rig {
  public:
   explicit Rig(const sandstand::Settings& rules = Rules(), Micros idle = kBound, std::size_t connections = 64,
-               std::size_t kept = 8, std::size_t places = 64, bool pushed = false)
+               std::size_t kept = 8, std::size_t places = 64, bool pushed = false, Micros write_for = kBound,
+               Micros linger_for = 1'000 * kMs)
       : gateway(loop, log, rules),
         budget(connections, kept),
         workers(loop, log, gateway, budget, {kBound, idle}),
@@ -164,7 +177,9 @@
                   places,
                   kBound,
                   {},
-                  Tenants(rules)}),
+                  Tenants(rules),
+                  write_for,
+                  linger_for}),
         discovery(loop, log, gateway,
                   {registry.endpoint(), "discovery", {{"here"}, {"plain"}}, 41, rules.ask_within, pushed}) {
     gateway.Connect(workers, discovery);
