Answer a request that waits behind another before ending its connection

Cause: on the way out, as a lame duck and with all places in use the answer at hand asked the client to leave and ended the connection (Conn::Answering), also when a further request had come whole behind it. That one, which the proxy had taken, was read away and got no answer.

Change: the answer that ends the connection is the one with nothing behind it, neither read by the proxy nor waiting in its kernel, as idle connections are already judged (Conn::Leave).

Measured: new test "a request that waits whole behind another is answered before the connection ends", for each of the three reasons: with the code before, and also with only the look into the kernel (Channel::Stale) left out, it failed for each reason (the second request never reached the upstream server, 20 s); it passes now.

--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -231,9 +231,14 @@
   void Answering() {
     if (state_ == State::kWaiting) CloseCall();
     state_ = State::kWriting;
-    if (acceptor_.draining_ || acceptor_.lameduck_ || acceptor_.room_.LastAnswer(id)) keep_ = false;
+    bool last = acceptor_.draining_ || acceptor_.lameduck_ || acceptor_.room_.LastAnswer(id);
+    if (last && !NextIsHere()) keep_ = false;
   }
 
+  // Whether more has come behind the request at hand. Ended with the answer to that one, the connection would
+  // end without an answer to a further request that the proxy has taken.
+  bool NextIsHere() { return parser_.begun() || channel.Stale(); }
+
   void WriteOut() {
     EndUnlessTaken(acceptor_.options_.write_for);
     channel.Flush();
--- a/tests/net/answer_delivery_test.cpp
+++ b/tests/net/answer_delivery_test.cpp
@@ -123,5 +123,38 @@
             [&] { return rig.acceptor.connections() == 0; });
 }
 
+// ---- A connection that ends with its answer ----
+
+// A request that is here whole behind the one being answered has been taken: an answer that asks its client
+// to leave would end the connection without one for it.
+TEST_CASE("a request that waits whole behind another is answered before the connection ends") {
+  enum class Ends { kDrain, kLameDuck, kNoPlace };
+  Ends how = Ends::kDrain;
+  SUBCASE("the process leaves") { how = Ends::kDrain; }
+  SUBCASE("a lame duck") { how = Ends::kLameDuck; }
+  SUBCASE("the clients' places are all in use") { how = Ends::kNoPlace; }
+  // Either the proxy has read it when it answers the one before, or only the kernel has it.
+  for (bool read : {true, false}) {
+    CAPTURE(read);
+    Rig rig(Rules(), kBound, 64, 8, how == Ends::kNoPlace ? 1 : 64);
+    Host worker;
+    rig.Know({&worker});
+    Peer busy = rig.Client();
+    busy.Say(Check("b1"));
+    rig.Request(worker, "b1");
+    Peer client = rig.Client();
+    client.Say(Check("a1") + (read ? Check("a2") : ""));
+    Peer& at = rig.Request(worker, "a1");
+    if (how == Ends::kDrain) rig.acceptor.Drain(rig.loop.Now() + kBound);
+    if (how == Ends::kLameDuck) rig.acceptor.Lameduck(true);
+    at.Say(Answer(200, "one"));
+    if (!read) client.Say(Check("a2"));  // told of after the answer
+    rig.Request(worker, "a2").Say(Answer(200, "two"));
+    rig.Hears(client, "two");
+    CHECK(client.Has("Connection: close\r\n"));
+    CHECK(client.text.find("Connection: close\r\n") > client.text.find("one"));
+  }
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
