Give a new connection the time for its first request when idle ones are closed

Cause: Acceptor::CloseIdle (the way out, lame duck) closed every connection without a request, also one that had been made a moment before and whose first request was on its way. The request came too late and got no answer.

Change: a connection that is less than 0.1 s old then stays until it has that age; the same span in which it counts as new when connections are short. The end of the process is put off by no more than that.

Measured: new test "a connection that has just been made is still served when the idle ones are closed", both cases: failed without the change (the request never reached the upstream server, 20 s), passes with it.

--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -23,6 +23,7 @@
 // close within 3 s of connecting (the later days' page, Bad clients).
 constexpr Micros kHeadTime = 2'400'000;
 constexpr Micros kIdleTime = 2'100'000;    // without any request; it may end after 2 s (there, The long day)
+constexpr Micros kFirstRequest = 100'000;  // from connecting, when idle connections are closed
 constexpr Micros kTellEvery = 10'000'000;  // that connections were ended early
 constexpr std::size_t kWaste = 64 * 1024;  // read at once of what is thrown away
 // Kept of what a client sends ahead of its answer: one request of the greatest size, or many small ones.
@@ -69,6 +70,17 @@
     return true;
   }
 
+  // One that has just connected is given the time for its first request to come: on its way, that request
+  // would meet a closed connection.
+  void LeaveUnlessNew() {
+    Micros left = fresh_ ? began_ + kFirstRequest - acceptor_.loop_.Now() : 0;
+    if (left <= 0) {
+      Leave();
+    } else {
+      timer_.Set(left, [this] { Leave(); });
+    }
+  }
+
   // Reads on whatever is open: the client's end lies behind all that it sent, and a call whose client has
   // left must not be sent on. What the parser can't take goes through a buffer that all clients share.
   std::span<char> Room() override {
@@ -501,7 +513,7 @@
   std::vector<Conn*> all;
   for (auto& [id, conn] : conns_) all.push_back(conn.get());
   for (Conn* conn : all) {
-    if (conn->channel.open() && conn->idle()) conn->Leave();
+    if (conn->channel.open() && conn->idle()) conn->LeaveUnlessNew();
   }
 }
 
--- a/tests/net/answer_delivery_test.cpp
+++ b/tests/net/answer_delivery_test.cpp
@@ -156,5 +156,27 @@
   }
 }
 
+// Its first request is on the way then, and would meet a closed connection.
+TEST_CASE("a connection that has just been made is still served when the idle ones are closed") {
+  bool lame_duck = false;
+  SUBCASE("the process leaves") { lame_duck = false; }
+  SUBCASE("a lame duck") { lame_duck = true; }
+  Rig rig;
+  Host worker;
+  rig.Know({&worker});
+  Peer client = rig.Client();
+  if (lame_duck) {
+    rig.Until("it is accepted", [&] { return rig.acceptor.connections() == 1; });
+    rig.acceptor.Lameduck(true);
+  } else {
+    rig.acceptor.Close();
+    REQUIRE(rig.acceptor.closed());
+  }
+  client.Say(Check("a1"));
+  rig.Request(worker, "a1").Say(Answer(200, "one"));
+  rig.Hears(client, "one");
+  CHECK(client.Has("Connection: close\r\n"));
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
