Answer what is open and end before the platform kills the process

Cause: after SIGTERM the process waited for as long as anything was open (Proxy::Leave). The deadline that Drain sets holds only for requests that come after the signal. One that was open with a later deadline, in a class whose deadline is above 3 s, was still open when the platform kills the process, 3.7 s after the signal, and got no answer. A client that took nothing of its answer held the process for the 10 s of writing.

Change: 0.6 s after the longest deadline that counts every open request gets its final answer (502 if it has been sent, else 503), and 50 ms later the process ends as it is.

Measured: new tests with the program. "a request whose deadline lies behind the process's end": with both changes left out the process ended 16.0 s after the signal, with a 503 instead of the 502 at the request's own deadline of 15 s, long after the platform's kill; now 502, and the test takes 3.67 s in all. "a client that takes nothing of its answer does not hold the process": before, the process ended 10.0 s after the signal; now the test takes 3.68 to 3.70 s. Seen to fail also without the call of EndOpenCalls (the first) and without the bound in Leave (the second).

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -40,6 +40,7 @@
 // (the protocol's page, Figures); a tenth of a second of it is for the answer to leave.
 constexpr Micros kMostDeadline = 3'000'000;
 constexpr Micros kAnswerBy = 600'000;
+constexpr Micros kLastAnswers = 50'000;  // for the answers given at that time to leave; then the process ends
 
 // Kept out of the budget: listeners, discovery, epoll, signals, standard streams, a file while it is read;
 // and the console's callers, so that the list's watch can be opened anew when clients and workers hold all
@@ -315,7 +316,8 @@
     stopping_ = true;
     log_.Line("leaving: %zu calls open, %zu client connections", gateway_.open_calls(),
               acceptor_.connections());
-    acceptor_.Drain(loop_.Now() + std::min(config_.longest_deadline, kMostDeadline) + kAnswerBy);
+    answer_by_ = loop_.Now() + std::min(config_.longest_deadline, kMostDeadline) + kAnswerBy;
+    acceptor_.Drain(answer_by_);
     if (peers_) peers_->Leave();
     // With the platform's socket a successor is taking the clients already: this one takes no more.
     if (acceptor_.inherited()) acceptor_.StopAccepting();
@@ -379,12 +381,19 @@
     feed_->Renew();
   }
 
-  // Ends once all that was taken is answered and written.
+  // Ends once all that was taken is answered and written, and in any case before the platform kills the
+  // process: a request that is still open then, because its deadline lies behind that, would get no answer.
   void Leave() {
     acceptor_.Close();
+    Micros now = loop_.Now();
+    if (now >= answer_by_) gateway_.EndOpenCalls();
     bool told = !peers_ || peers_->left();
     bool empty = acceptor_.closed() && acceptor_.connections() == 0;
     if (gateway_.open_calls() == 0 && empty && told) return loop_.Stop();
+    if (now >= answer_by_ + kLastAnswers) {
+      log_.Line("out of time: %zu client connections end as they are", acceptor_.connections());
+      return loop_.Stop();
+    }
     drain_timer_.Set(kLookEvery, [this] { Leave(); });
   }
 
@@ -404,6 +413,7 @@
   Fd signals_;
   Timer drain_timer_;
   bool stopping_ = false;
+  Micros answer_by_ = 0;  // once stopping
 };
 
 }  // namespace
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -162,6 +162,25 @@
   ForgetIfOver(id);
 }
 
+// What has been sent may have run, and its client must not take it for refused.
+void Gateway::EndOpenCalls() {
+  std::vector<CallId> open;
+  for (const auto& [id, call] : calls_) {
+    if (call.caller != nullptr) open.push_back(id);
+  }
+  for (CallId id : open) {
+    auto it = calls_.find(id);
+    bool sent = it != calls_.end() && !it->second.attempts.empty();
+    Caller* caller = Close(id);
+    if (caller == nullptr) continue;
+    ++(sent ? tally().failed : tally().refused);
+    sent ? caller->Failed() : caller->Rejected(0);
+    Deliver(sandstand::ClientLeft{id});
+    Withdraw(id);
+    ForgetIfOver(id);
+  }
+}
+
 // Guards against sending on for nobody: the module calls off only what the settings let it, but what is not
 // written whole has not been sent at all.
 void Gateway::Withdraw(CallId id) {
@@ -370,8 +389,8 @@
   Ended(key, AttemptEnd::kGivenUp, nullptr);
 }
 
-// Each request for a wake-up replaces the one before it, also when the earlier one is due and has not run yet:
-// an event that is handled after its due time runs the module's alarms and asks for the next of them.
+// Each request for a wake-up replaces the one before it, also when the earlier one is due and has not run
+// yet: an event that is handled after its due time runs the module's alarms and asks for the next of them.
 void Gateway::Carry(const sandstand::WakeAfter& action) {
   wake_.Set(action.delay, [this] { Deliver(sandstand::TimerFired{}); });
 }
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -31,6 +31,8 @@
   CallId NewCall() { return ++calls_begun_; }
   void Arrive(CallId id, Arrival arrival, Caller& caller);
   void Left(CallId id);
+  // Gives every open call its final answer now: the process ends before their deadlines.
+  void EndOpenCalls();
   // From the workers' side: bytes of an attempt are about to be handed to the kernel. False: none may, since
   // its client has gone or its time to be written is over; the attempt has then been given up and ended.
   bool MayWrite(AttemptKey key);
--- a/tests/net/answer_delivery_test.cpp
+++ b/tests/net/answer_delivery_test.cpp
@@ -178,5 +178,64 @@
   CHECK(client.Has("Connection: close\r\n"));
 }
 
+// ---- The way out ----
+
+// The program's port on a socket of the test's whose connections' buffers are small.
+struct SmallSocket {
+  SmallSocket() {
+    REQUIRE(::setsockopt(host.fd(), SOL_SOCKET, SO_SNDBUF, &kSmallBuffer, sizeof kSmallBuffer) == 0);
+  }
+  std::vector<std::pair<std::string, std::string>> Env() const {
+    return {{"BALANCER_SOCKET_FD", std::to_string(host.fd())}};
+  }
+  Host host{true};
+};
+
+void UntilUp(Rig& outside, Program& program) {
+  outside.Until("it is up", [&] { return program.Said().find("workers known\n") != std::string::npos; });
+}
+
+// The platform ends the process 3.7 s after the signal, whatever deadlines the requests that are open have.
+// The bound is looser than that for the sake of busy machines, and far below the request's own 15 s.
+constexpr Micros kEndsWithin = 6'000 * kMs;
+
+// Killed with the request still open, the process would give it no answer at all.
+TEST_CASE("a request whose deadline lies behind the process's end is answered before it") {
+  Host worker;
+  Program program(ProgramConfig(0, worker.port));
+  Rig outside;  // for its bounded waits only
+  std::uint16_t port = PortAfter(outside, program, " on port ");
+  UntilUp(outside, program);
+  Peer client = Peer::Dial(port);
+  client.Say(Check("a1"));
+  outside.Request(worker, "a1");  // which never answers
+  Micros signalled = outside.loop.Now();
+  program.Signal(SIGTERM);
+  outside.Hears(client, "\r\n\r\n");
+  CHECK(client.Has("HTTP/1.1 502 "));
+  CHECK(client.Has("Connection: close\r\n"));
+  CHECK(program.Wait() == 0);
+  CHECK(outside.loop.Now() < signalled + kEndsWithin);
+}
+
+// A client that takes nothing of its answer would otherwise hold the process until the platform kills it, and
+// with it what else the process has to put in order.
+TEST_CASE("a client that takes nothing of its answer does not hold the process on its way out") {
+  Host worker;
+  SmallSocket socket;
+  Program program(ProgramConfig(1, worker.port), socket.Env());
+  Rig outside;  // for its bounded waits only
+  UntilUp(outside, program);
+  Peer client = Peer::Dial(socket.host.port, kSmallBuffer);
+  client.Say(Check("a1"));
+  Peer& at = outside.Request(worker, "a1");
+  at.Say(Answer(200, LongBody()));
+  outside.Until("the answer has begun", [&] { return client.Take(1), !client.text.empty(); });
+  Micros signalled = outside.loop.Now();
+  program.Signal(SIGTERM);
+  CHECK(program.Wait() == 0);
+  CHECK(outside.loop.Now() < signalled + kEndsWithin);
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
