Test that a cut or hanging upstream answer ends in one final answer in time

Cause: two cases were known from reading only: an answer without length that is cut when no further attempt is allowed, when the next one is silent, or when the deadline is met in the same round; and an unsafe request whose only attempt hangs. Both are ruled out as causes of lost requests; no code changes.

--- a/tests/net/answer_delivery_test.cpp
+++ b/tests/net/answer_delivery_test.cpp
@@ -46,6 +46,17 @@
   return rig.loop.Now() - began;
 }
 
+std::string CheckWithin(const std::string& id, int milliseconds) {
+  return "GET /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+         "\r\nRequest-Class: check\r\nRequest-Timeout: " + std::to_string(milliseconds) + "m\r\n\r\n";
+}
+
+std::string PayWithin(const std::string& id, int milliseconds) {
+  return "POST /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+         "\r\nRequest-Class: pay\r\nRequest-Timeout: " + std::to_string(milliseconds) +
+         "m\r\nContent-Length: 3\r\n\r\npay";
+}
+
 // ---- A client that takes its answer slowly ----
 
 // Were the time counted from the start of writing, the proxy itself would end an answer half given, which is
@@ -123,6 +134,67 @@
             [&] { return rig.acceptor.connections() == 0; });
 }
 
+// ---- An upstream server that stops half-way ----
+
+// What the server had begun is of no use to the client, and nothing may be tried again or there is no time
+// for it: the request still ends in one answer, by its deadline.
+TEST_CASE("an answer without length that is cut ends in one final answer when no further attempt may serve") {
+  enum class Why { kUnsafe, kNoMoreAttempts, kNextIsSilent, kPastDeadline };
+  constexpr int kWithin = 1'000;  // milliseconds
+  for (Why why : {Why::kUnsafe, Why::kNoMoreAttempts, Why::kNextIsSilent, Why::kPastDeadline}) {
+    CAPTURE(static_cast<int>(why));
+    bool at_once = why == Why::kUnsafe || why == Why::kNoMoreAttempts;
+    sandstand::Settings rules = Rules();
+    if (why == Why::kNoMoreAttempts) rules.max_attempts = 1;
+    Rig rig(rules);
+    Host worker, other;
+    rig.Know({&worker});
+    Peer client = rig.Client();
+    client.Say(why == Why::kUnsafe ? Pay("a1") : at_once ? Check("a1") : CheckWithin("a1", kWithin));
+    Peer& at = rig.Request(worker, "a1");
+    rig.Know({&other}, WorkerList::Kind::kChanges);
+    at.Say("HTTP/1.1 200 OK\r\n\r\nmade so far");
+    at.Abort();
+    Micros cut = rig.loop.Now();
+    if (why == Why::kNextIsSilent) rig.Request(other, "a1");
+    // The cut and the deadline are met in one round.
+    while (why == Why::kPastDeadline && rig.loop.Now() < cut + kWithin * kMs) ::poll(nullptr, 0, 1);
+    rig.Hears(client, "\r\n\r\n");
+    if (at_once) CHECK(rig.loop.Now() < cut + 5'000 * kMs);  // its deadline is 15 s off
+    Settles(rig);
+    bool final = client.Has("HTTP/1.1 502 ") || client.Has("HTTP/1.1 503 ");
+    CHECK(final);
+    CHECK(client.text.find("HTTP/1.1 ", 9) == std::string::npos);
+    CHECK_FALSE(client.Has("made"));
+    if (why != Why::kNextIsSilent) CHECK_FALSE(other.Accept());
+  }
+}
+
+// The settings' tick is the room left for the client's side: a failure that leaves at the deadline itself
+// comes too late there. The tick is long here, so that a busy machine does not decide.
+TEST_CASE("the failure of an unsafe request whose only attempt hangs leaves in time for its client") {
+  constexpr int kWithin = 1'000;  // milliseconds
+  for (bool begun : {false, true}) {
+    CAPTURE(begun);
+    sandstand::Settings rules = Rules();
+    rules.tick = 500 * kMs;
+    Rig rig(rules);
+    Host worker, other;
+    rig.Know({&worker});
+    Peer client = rig.Client();
+    client.Say(PayWithin("a1", kWithin));
+    Micros deadline = rig.loop.Now() + kWithin * kMs;
+    Peer& at = rig.Request(worker, "a1");
+    rig.Know({&other}, WorkerList::Kind::kChanges);
+    if (begun) at.Say("HTTP/1.1 200 OK\r\n\r\nmade so far");
+    rig.Hears(client, "HTTP/1.1 502 ");
+    CHECK(rig.loop.Now() < deadline);
+    CHECK_FALSE(client.Has("made"));
+    Settles(rig);
+    CHECK_FALSE(other.Accept());
+  }
+}
+
 // ---- A connection that ends with its answer ----
 
 // A request that is here whole behind the one being answered has been taken: an answer that asks its client
