--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -144,9 +144,10 @@
   return ::poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-bool Channel::Unacknowledged() const {
-  int bytes = 0;
-  return !out_.empty() || (::ioctl(fd_.get(), SIOCOUTQ, &bytes) == 0 && bytes > 0);
+std::size_t Channel::Undelivered() const {
+  int in_kernel = 0;
+  if (open()) ::ioctl(fd_.get(), SIOCOUTQ, &in_kernel);
+  return out_.size() + static_cast<std::size_t>(in_kernel);
 }
 
 int Channel::TakeError() {
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -63,7 +63,7 @@
   void OnWritten() override { written_ = true; }
 
   void OnBytes(std::size_t n) override {
-    if (busy && !parser_.begun()) crossed_ = channel.Unacknowledged();
+    if (busy && !parser_.begun()) crossed_ = channel.Undelivered() > 0;
     parser_.Got(n);
     Look();
   }
--- a/tests/net/long_body_test.cpp
+++ b/tests/net/long_body_test.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t kBeyondUsual = kLong - http::kBodyLimit;  // what it takes of the shared memory
 
 Rig RigWithMemory(std::size_t long_body_memory) {
-  return Rig(Rules(), kBound, 64, 8, 64, false, long_body_memory);
+  return Rig(Rules(), kBound, 64, 8, 64, false, kBound, 1'000 * kMs, long_body_memory);
 }
 
 // No two parts of it are alike, so that a lost or doubled piece shows.
