--- a/include/sandstand/balancer.hpp
+++ b/include/sandstand/balancer.hpp
@@ -15,7 +15,6 @@
 #define SANDSTAND_BALANCER_HPP_
 
 #include <cstdint>
-#include <limits>
 #include <memory>
 #include <string>
 #include <variant>
@@ -106,9 +105,8 @@
   RequestId id = 0;
   int request_class = 0;
   int tenant = 0;
-  Micros deadline = 0;  // when the client gives this try up
-  // When the gateway must have answered, however long the client waits; the greatest: no limit.
-  Micros answer_by = std::numeric_limits<Micros>::max();
+  Micros deadline = 0;   // when the client gives this try up
+  Micros answer_by = 0;  // when the gateway must have answered, however long the client waits; 0: no limit
   Micros work_hint = 0;  // expected work; meaningful if has_hint
   bool has_hint = false;
   bool client_retry = false;  // the client marked it as a repeat
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -34,18 +34,17 @@
 constexpr double kSharersLeast = 15;   // ... and as many that each has this many gateways
 constexpr double kOutside = 1e15;      // beyond any turn
 constexpr double kDrain = 0.6;  // a queue we saw shrinks by this much a unit of time while we look away
-constexpr double kPaceQuantile = 0.2;   // of latency over hint: service without much waiting
-constexpr double kUnhintedPace = 0.5;   // of latency, where no request tells its work
-constexpr double kUnhintedMin = 10;     // so many without any hint before they are counted in usual ones
-constexpr double kUnhintedTimes = 2;    // a cold server's allowance: its work may be far above the usual
-constexpr double kUnhintedWork = 0.25;  // of the shortest aim: what such a request is first taken for
-constexpr double kPaceStep = 0.03;      // learning step of that quantile, in log terms
-constexpr double kSmooth = 0.02;        // weight of a new sample in running means
-constexpr double kWaitStep = 0.05;      // learning step of the usual wait, in mean service times
-constexpr double kWaitFollow = 0.1;     // ... or this part of the time since the last answer, if that is more
-constexpr double kForget = 0.2;         // weight of a refusal against the usual wait, next to an answer's
-constexpr double kPatience = 0.7;       // part of the time left to the aim that waiting may take
-constexpr double kOwnAim = 1.0 / 3;     // of its own time, at least, where aims lie far apart
+constexpr double kPaceQuantile = 0.2;    // of latency over hint: service without much waiting
+constexpr double kUnhintedPace = 0.5;    // of latency, where no request tells its work
+constexpr double kUnhintedMin = 10;      // so many without any hint before they are counted in usual ones
+constexpr double kUnhintedTimes = 2;     // a cold server's allowance: its work may be far above the usual
+constexpr double kUnhintedWork = 0.25;   // of the shortest aim: what such a request is first taken for
+constexpr double kPaceStep = 0.03;       // learning step of that quantile, in log terms
+constexpr double kSmooth = 0.02;         // weight of a new sample in running means
+constexpr double kWaitStep = 0.05;       // learning step of the usual wait, in mean service times
+constexpr double kForget = 0.2;          // weight of a refusal against the usual wait, next to an answer's
+constexpr double kPatience = 0.7;        // part of the time left to the aim that waiting may take
+constexpr double kOwnAim = 1.0 / 3;      // of its own time, at least, where aims lie far apart
 constexpr double kPatienceLeast = 0.25;  // of that, the part granted to a request of no worth
 constexpr double kRoom = 0.5;            // part of the time to the aim within which any server is as good
 constexpr double kLongJam = 2;           // times the usual wait that a long must have room for
@@ -360,8 +359,8 @@
           double quantile = request.hinted ? kPaceQuantile : kUnhintedPace;
           pace *= std::exp(ratio < pace ? -step * (1 - quantile) : step * quantile);
         }
-        StepMedian(zone.met_wait, waited, server, 1, now_ - std::exchange(answered_at_, now_));
-        StepMedian(surprise_, waited - attempt.expected_wait, server, 1, 0);
+        StepMedian(zone.met_wait, waited, server, 1);
+        StepMedian(surprise_, waited - attempt.expected_wait, server, 1);
         if (attempt.sent >= server.wait_at) {
           server.wait_seen = std::max(0.0, waited);
           server.wait_at = attempt.sent;
@@ -377,7 +376,7 @@
         break;
       case Outcome::kFull:
         // Its queue is full: as long as we care to know.
-        StepMedian(zone.met_wait, shortest_aim_, server, 1, now_ - std::exchange(answered_at_, now_));
+        StepMedian(zone.met_wait, shortest_aim_, server, 1);
         server.wait_seen = std::max(ExpectedWait(server), shortest_aim_);
         server.wait_at = now_;
         break;
@@ -429,11 +428,10 @@
 
   static double Step(bool up) { return std::exp(kPaceStep * (up ? kTailQuantile : kTailQuantile - 1)); }
 
-  // Moves a running median of waits towards a sample, by more after a `gap` without any: jams grow meanwhile.
-  void StepMedian(double& median, double sample, const Server& server, double weight, Micros gap) const {
-    double since = std::min<double>(gap, shortest_aim_);
-    double step = weight * std::max(kWaitStep * ServiceTime(mean_work_, server), kWaitFollow * since);
-    median = std::max(0.0, median + std::clamp(sample - median, -step, step));
+  // Moves a running median of waits one step towards a sample.
+  void StepMedian(double& median, double sample, const Server& server, double weight) const {
+    double step = weight * kWaitStep * ServiceTime(mean_work_, server);
+    median = std::max(0.0, median + (sample > median ? step : -step));
   }
 
   // How long to leave something alone that failed, somewhat at random so that gateways don't try it together.
@@ -851,7 +849,7 @@
     Request& request = requests_[e.id];
     request.id = e.id;
     request.request_class = e.request_class;
-    request.deadline = std::min(e.deadline, e.answer_by);
+    request.deadline = e.answer_by == 0 ? e.deadline : std::min(e.deadline, e.answer_by);
     request.hinted = e.has_hint && e.work_hint > 0;
     if (request.hinted) NoteHint(e.work_hint);
     // Where no request tells its work it is counted in usual ones, and the pace learns how long those take.
@@ -861,7 +859,8 @@
     request.is_long = request.hinted && request.work > cutoff_;
     request.aged = request.work;
     request.age_every = std::max<Micros>(1, static_cast<Micros>(kAgeEvery * c.aim));
-    request.aim_at = std::min(AimOf(e, c, request.work), e.answer_by);
+    request.aim_at = AimOf(e, c, request.work);
+    if (e.answer_by != 0) request.aim_at = std::min(request.aim_at, e.answer_by);
     request.worth = WorthOf(e, c, request);
     extra_ = std::min(kExtraBurst, extra_ + kExtraShare);
     alarms_.insert({request.deadline - set_.tick, Alarm::kDeadline, request.id});
@@ -912,8 +911,8 @@
   bool TooLate(const Request& request, const Pick& pick) {
     if (!Late(request, pick)) return false;
     // With all refused no answer would tell that the jam has gone: a refusal counts against what was learned.
-    StepMedian(zones_[pick.server->entry.zone].met_wait, 0, *pick.server, kForget, 0);
-    StepMedian(surprise_, 0, *pick.server, kForget, 0);
+    StepMedian(zones_[pick.server->entry.zone].met_wait, 0, *pick.server, kForget);
+    StepMedian(surprise_, 0, *pick.server, kForget);
     return true;
   }
 
@@ -997,7 +996,6 @@
   std::map<int, std::pair<double, int>> pace_;  // a kind: service time = work x pace / size; samples
   double usual_failures_ = 0;                   // running part of attempts that ended in an error or reset
   double tail_ = 2;                             // quantile of latency over what was expected
-  Micros answered_at_ = 0;                      // when an answer or a refusal last told of a wait
   double surprise_ = 0;                         // median by which answers waited longer than expected
 
   std::map<RequestId, Request> requests_;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -129,7 +129,7 @@
   event.request_class = arrival.call_class;
   event.tenant = arrival.tenant;
   event.deadline = arrival.deadline;
-  if (arrival.answer_by != 0) event.answer_by = arrival.answer_by;
+  event.answer_by = arrival.answer_by;
   event.work_hint = arrival.work_hint.value_or(0);
   event.has_hint = arrival.work_hint.has_value();
   event.client_retry = arrival.client_retry;
