Answer 413 to a body that the memory for long bodies could never hold

Cause: where the memory for long bodies is smaller than a body needs (none at all, where the limit is not told), the parser answered 503, which promises that trying again may help.

Found by the whole network suite under sanitizers: rules_test "bad input gets its status and a close" failed on a length of 65,537 (152 of 153). Change: 503 only if the body would fit into all of that memory. Measured: 153 of 153 network cases pass.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -346,11 +346,12 @@
 // Whether the message at hand may have a body of `size` bytes. If not, it is bad.
 bool Parser::BodyMayBe(std::uint64_t size) {
   if (size <= body_limit_) return true;
-  bool long_at_all = long_bodies_ != nullptr && size <= kLongBodyLimit;
-  if (!long_at_all) return Bad(413), false;
+  std::uint64_t beyond = size - body_limit_;
+  bool may_ever = long_bodies_ != nullptr && size <= kLongBodyLimit && beyond <= long_bodies_->limit();
+  if (!may_ever) return Bad(413), false;
   Message& message = *message_;
   if (!message.long_body_.shares()) message.long_body_ = BodyMemory::Share(long_bodies_);
-  if (!message.long_body_.GrowTo(static_cast<std::size_t>(size) - body_limit_)) return Bad(503), false;
+  if (!message.long_body_.GrowTo(static_cast<std::size_t>(beyond))) return Bad(503), false;
   return true;
 }
 
