Let the network tests share their timed requests and the wait outside the loop

Cause: two new test files and stream_end_test each had their own copy of a request with a stated time and of a wait while the proxy's loop stands still.

Change: one of each in support.hpp (CheckWithin, PayWithin, WaitOutsideTheLoop).

--- a/tests/net/answer_delivery_test.cpp
+++ b/tests/net/answer_delivery_test.cpp
@@ -46,17 +46,6 @@
   return rig.loop.Now() - began;
 }
 
-std::string CheckWithin(const std::string& id, int milliseconds) {
-  return "GET /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
-         "\r\nRequest-Class: check\r\nRequest-Timeout: " + std::to_string(milliseconds) + "m\r\n\r\n";
-}
-
-std::string PayWithin(const std::string& id, int milliseconds) {
-  return "POST /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
-         "\r\nRequest-Class: pay\r\nRequest-Timeout: " + std::to_string(milliseconds) +
-         "m\r\nContent-Length: 3\r\n\r\npay";
-}
-
 // ---- A client that takes its answer slowly ----
 
 // Were the time counted from the start of writing, the proxy itself would end an answer half given, which is
--- a/tests/net/deadline_test.cpp
+++ b/tests/net/deadline_test.cpp
@@ -7,24 +7,6 @@
 namespace dappletiller::testing {
 namespace {
 
-std::string CheckWithin(const std::string& id, int milliseconds) {
-  return "GET /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
-         "\r\nRequest-Class: check\r\nRequest-Timeout: " + std::to_string(milliseconds) + "m\r\n\r\n";
-}
-
-// Of another class than the above: a request with far less time than others of its class is taken for a late
-// try.
-std::string PayWithin(const std::string& id, int milliseconds) {
-  return "POST /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
-         "\r\nRequest-Class: pay\r\nRequest-Timeout: " + std::to_string(milliseconds) +
-         "m\r\nContent-Length: 3\r\n\r\npay";
-}
-
-// Waits until the loop's clock has passed `when`, while the loop itself stands still.
-void StandStillPast(Rig& rig, Micros when) {
-  while (rig.loop.Now() <= when) ::poll(nullptr, 0, 1);
-}
-
 // The module keeps all its alarms behind one timer. An event that is handled when that timer is due but has
 // not run yet answers the first request and asks for the second one's wake-up. Were that wake-up dropped in
 // favour of the one that is due, the second request would stay unanswered until some other event came along.
@@ -49,7 +31,8 @@
   // What happens next lies in the kernel when the first deadline's timer is due.
   if (other == Other::kRequest) third.Say(Check("third"));
   if (other == Other::kClientLeaves) third.Close();
-  StandStillPast(rig, rig.loop.Now() + kFirstWithin * kMs);
+  Micros due_by = rig.loop.Now() + kFirstWithin * kMs;
+  WaitOutsideTheLoop("the first deadline has passed", [&] { return rig.loop.Now() > due_by; });
   if (other == Other::kList) rig.Know({}, WorkerList::Kind::kFull);
   rig.Hears(first, "HTTP/1.1 503 ");
   rig.Hears(second, "HTTP/1.1 503 ");
@@ -74,6 +57,7 @@
 // Counted from the answer before it, a request that waits behind another would be answered after its time.
 TEST_CASE("the time of a request behind another one on its connection runs while it waits there") {
   constexpr int kWithin = 200;  // milliseconds
+  // Of another class than the first: one with far less time than others of its class is taken for a late try.
   std::string second = PayWithin("second", kWithin);
   bool in_pieces = false;
   SUBCASE("received with the first") {}
--- a/tests/net/late_bytes_test.cpp
+++ b/tests/net/late_bytes_test.cpp
@@ -15,17 +15,6 @@
 const std::string kLastBytes = "the last bytes";
 const std::string kLargeBody = std::string(60'000, 'x') + kLastBytes;
 
-// Waits for a condition while the proxy's loop stands still.
-void Outside(const char* what, const std::function<bool()>& holds) {
-  Loop clock;
-  Micros end = clock.Now() + kBound;
-  while (!holds()) {
-    INFO("waiting until " << std::string(what));
-    REQUIRE(clock.Now() < end);
-    ::poll(nullptr, 0, 1);
-  }
-}
-
 void Buffer(int fd, int which, int bytes) {
   REQUIRE(::setsockopt(fd, SOL_SOCKET, which, &bytes, sizeof bytes) == 0);
 }
@@ -162,7 +151,7 @@
     rig.Know({&first}, WorkerList::Kind::kChanges, WorkerState::kDraining);
     at.Say(Answer(500));  // it may have run
     rig.Until("the repeat is dialled", [&] { return rig.workers.connections() == 2; });
-    Outside("the connection is up", [&] { return second.Accept(); });
+    WaitOutsideTheLoop("the connection is up", [&] { return second.Accept(); });
     proxys_end = ProxysEnd(second);
     Buffer(proxys_end, SO_SNDBUF, room);
     rig.Until("it is written as far as it goes", [&] { return Unsent(proxys_end) > 0; });
@@ -172,7 +161,8 @@
   // The server reads again, and there is room for all the rest, while the loop stands still.
   void MakeRoom() {
     Buffer(proxys_end, SO_SNDBUF, kLargeBuffer);
-    Outside("what lies in the kernel is read", [&] { return server().Heard(), Unsent(proxys_end) == 0; });
+    WaitOutsideTheLoop("what lies in the kernel is read",
+                       [&] { return server().Heard(), Unsent(proxys_end) == 0; });
     REQUIRE_FALSE(server().Has(kLastBytes));
   }
   static sandstand::Settings RulesWithWindow() {
@@ -194,7 +184,8 @@
 TEST_CASE(
     "the rest of a repeat is not written after its window, though there is room before the timer runs") {
   Repeat repeat(kSmallBuffer);
-  Outside("the window is over", [&] { return repeat.rig.loop.Now() > repeat.sent_by + Repeat::kWindow; });
+  WaitOutsideTheLoop("the window is over",
+                     [&] { return repeat.rig.loop.Now() > repeat.sent_by + Repeat::kWindow; });
   repeat.MakeRoom();
   repeat.rig.Hears(repeat.client, "HTTP/1.1 502 ");
   repeat.rig.Until("the server meets the end", [&] { return repeat.server().Ended(); });
@@ -267,7 +258,7 @@
   int proxys_end = ProxysEnd(worker);
   if (request_first) client.Say(Pay("a2"));
   at.Say(Answer(200, "made of the first"));
-  Outside("the second answer is here", [&] { return Unread(proxys_end) > 0; });
+  WaitOutsideTheLoop("the second answer is here", [&] { return Unread(proxys_end) > 0; });
   if (!request_first) client.Say(Pay("a2"));
   rig.Request(worker, "a2").Say(Answer(200, "made of the second"));
   rig.Hears(client, "HTTP/1.1 200 ");
@@ -307,11 +298,11 @@
   rig.Until("it is written as far as it goes",
             [&] { return Unsent(proxys_end) > (room == kLargeBuffer ? kMostlyUnsent : 0); });
   if (rest_waits) {
-    Outside("what is written is read", [&] { return at.Heard(), Unsent(proxys_end) == 0; });
+    WaitOutsideTheLoop("what is written is read", [&] { return at.Heard(), Unsent(proxys_end) == 0; });
     REQUIRE(at.text.find(kLastBytes) == std::string::npos);
   }
   at.Say(second.substr(0, early));
-  Outside("the second answer is here", [&] { return Unread(proxys_end) > 0; });
+  WaitOutsideTheLoop("the second answer is here", [&] { return Unread(proxys_end) > 0; });
   rig.Until("the second answer is read", [&] { return Unread(proxys_end) == 0; });
   for (int i = 0; i < 3; ++i) rig.loop.Round(0);
   CHECK_FALSE(client.Has("HTTP/1.1 "));
--- a/tests/net/stream_end_test.cpp
+++ b/tests/net/stream_end_test.cpp
@@ -9,17 +9,6 @@
 namespace dappletiller::testing {
 namespace {
 
-// Waits for a condition while the proxy's loop stands still.
-void Outside(const char* what, const std::function<bool()>& holds) {
-  Loop clock;
-  Micros end = clock.Now() + kBound;
-  while (!holds()) {
-    INFO("waiting until " << std::string(what));
-    REQUIRE(clock.Now() < end);
-    ::poll(nullptr, 0, 1);
-  }
-}
-
 // ---- The driver ----
 
 struct Recorder final : Channel::Owner {
@@ -76,7 +65,7 @@
           } else {
             pair.peer.EndSending();
           }
-          Outside("the end lies in the kernel", [&] { return to.channel.PeerEnded(); });
+          WaitOutsideTheLoop("the end lies in the kernel", [&] { return to.channel.PeerEnded(); });
           if (met == Met::kByLook) CHECK(to.channel.Stale());
           if (met == Met::kByPoll) CHECK(to.channel.PeerEnded());
           if (met == Met::kByWrite && reset) {
@@ -295,7 +284,7 @@
       client.Say(Check("a1"));
       rig.Until("it is dialled", [&] { return rig.workers.connections() == 1; });
       shut.Open();
-      Outside("the connection is up", [&] { return shut.Accept(); });
+      WaitOutsideTheLoop("the connection is up", [&] { return shut.Accept(); });
       Leave(client, how);
       rig.Until("it has left", [&] { return rig.gateway.open_calls() == 0; });
       Settles(rig);
@@ -336,8 +325,9 @@
     if (stood_still) {
       // Up in the kernel, and the loop hears of it only after the window.
       shut.Open();
-      Outside("the connection is up", [&] { return shut.Accept(); });
-      Outside("the window is over", [&] { return rig.loop.Now() > sent_by + rules.classes[2].window; });
+      WaitOutsideTheLoop("the connection is up", [&] { return shut.Accept(); });
+      WaitOutsideTheLoop("the window is over",
+                         [&] { return rig.loop.Now() > sent_by + rules.classes[2].window; });
     }
     rig.Hears(client, "HTTP/1.1 502 ");
     Settles(rig);
@@ -360,7 +350,7 @@
   rig.Until("it is dialled", [&] { return rig.workers.connections() == 1; });
   Micros begun_by = rig.loop.Now();
   shut.Open();
-  Outside("the connection is up", [&] { return shut.Accept(); });
+  WaitOutsideTheLoop("the connection is up", [&] { return shut.Accept(); });
   Micros up_at = rig.loop.Now();
   Peer& at = rig.Request(shut, "a1");
   const std::string name = "\r\nRequest-Timeout: ";
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -265,6 +265,16 @@
          "\r\nRequest-Class: pay\r\nRequest-Timeout: 15000000u\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
+// The same with a stated time of their own.
+inline std::string CheckWithin(const std::string& id, int milliseconds) {
+  return "GET /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+         "\r\nRequest-Class: check\r\nRequest-Timeout: " + std::to_string(milliseconds) + "m\r\n\r\n";
+}
+inline std::string PayWithin(const std::string& id, int milliseconds) {
+  return "POST /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+         "\r\nRequest-Class: pay\r\nRequest-Timeout: " + std::to_string(milliseconds) +
+         "m\r\nContent-Length: 3\r\n\r\npay";
+}
 inline std::string Answer(int status, const std::string& body = "", const std::string& more = "") {
   return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n" + more + "\r\n" + body;
@@ -276,6 +286,17 @@
   CHECK(rig.gateway.open_calls() == 0);
 }
 
+// Waits for a condition while the proxy's loop stands still.
+inline void WaitOutsideTheLoop(const char* what, const std::function<bool()>& holds) {
+  Loop clock;
+  Micros end = clock.Now() + kBound;
+  while (!holds()) {
+    INFO("waiting until " << std::string(what));
+    REQUIRE(clock.Now() < end);
+    ::poll(nullptr, 0, 1);
+  }
+}
+
 // Waits for the final answer of a call that a test hands to the gateway itself.
 struct Waiter final : Caller {
   void Served(PayloadRef) override { ++served; }
