--- a/tests/net/program.hpp
+++ b/tests/net/program.hpp
@@ -91,6 +91,20 @@
     auto all = std::filesystem::directory_iterator("/proc/" + std::to_string(pid_) + "/fd");
     return static_cast<std::size_t>(std::distance(begin(all), end(all)));
   }
+  std::size_t PeakMemoryKilobytes() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    const std::string field = "VmHWM:";
+    for (std::string line; std::getline(status, line);) {
+      if (line.rfind(field, 0) == 0) return std::stoul(line.substr(field.size()));
+    }
+    FAIL("the process has ended");
+    return 0;
+  }
+  bool HasEnded() {
+    if (pid_ == 0 || ::waitpid(pid_, nullptr, WNOHANG) == 0) return pid_ == 0;
+    pid_ = 0;
+    return true;
+  }
 
  private:
   static std::string MakeFolder() {
