--- a/tests/fault_injection/process_fault_test.cpp
+++ b/tests/fault_injection/process_fault_test.cpp
@@ -101,5 +101,185 @@
   CHECK(program.PeakMemoryKilobytes() - before <= kMaxGrowthKilobytes);
 }
 
+void Replace(std::string* text, const std::string& what, const std::string& with) {
+  REQUIRE(text->find(what) != std::string::npos);
+  text->replace(text->find(what), what.size(), with);
+}
+
+TEST_CASE("many clients' half-written requests exceed the memory limit") {
+  constexpr std::size_t kMemoryKilobytes =
+      48 * 1024;  // the least that is deployed, with the most descriptors
+  constexpr int kClients = 900;
+  TestServer server;
+  std::string config = ProgramConfig(0, server.port);
+  Replace(&config, "\"sockets\":256", "\"sockets\":1024,\"memory_mb\":48");
+  Replace(&config, "\"effect\":\"free\"", "\"effect\":\"single_shot\"");
+  Program program(config, {{"ASAN_OPTIONS", kSanitizerOptions}});
+  ProxyFixture fixture;  // only for its bounded waits
+  std::uint16_t port = ReadPort(fixture, program, "started as n0 on port ");
+  const std::size_t before = program.PeakMemoryKilobytes();
+  const std::string body(65'000, 'x');
+  std::vector<TestConnection> clients;
+  std::vector<std::size_t> sent(kClients, 0);
+  std::vector<std::string> requests;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(TestConnection::Connect(port));
+    requests.push_back("POST /api HTTP/1.1\r\nRequest-Id: h" + std::to_string(i) +
+                       "\r\nRequest-Class: check\r\nContent-Length: 65536\r\n\r\n" + body);
+  }
+  // All at once, within the time for a request.
+  fixture.WaitUntil("all clients have sent their halves, or have their rejection", [&] {
+    bool all = true;
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+      sent[i] += clients[i].TrySend(std::string_view(requests[i]).substr(sent[i]));
+      all = all &&
+            (sent[i] == requests[i].size() || clients[i].HasReceived("HTTP/1.1 ") || clients[i].IsClosed());
+    }
+    return all;
+  });
+  fixture.WaitUntil("all clients have an answer", [&] {
+    return std::all_of(clients.begin(), clients.end(),
+                       [](TestConnection& client) { return client.IsClosed(); });
+  });
+  CHECK(program.PeakMemoryKilobytes() - before <= kMemoryKilobytes);
+  // Others are served all the same.
+  TestConnection client = TestConnection::Connect(port);
+  client.Send("POST /api HTTP/1.1\r\nRequest-Id: z\r\nRequest-Class: check\r\nContent-Length: 1\r\n\r\ny");
+  fixture.WaitForRequest(server, "z").Send(Response(200, "served"));
+  fixture.WaitForData(client, "served");
+}
+
+// Sends a request and expects the server's answer to it.
+void ExpectServed(ProxyFixture& fixture, std::uint16_t port, TestServer& server, const std::string& id,
+                  const std::string& answer_header = "") {
+  TestConnection client = TestConnection::Connect(port);
+  client.Send(SafeRequest(id));
+  TestConnection& at = fixture.WaitForRequest(server, id);
+  at.text.clear();
+  at.Send(Response(200, "body of " + id, answer_header));
+  fixture.WaitForData(client, "body of " + id);
+}
+
+TEST_CASE("a shortage at a dial is held against the server") {
+  const std::vector<std::string> faults = {"socket:ENFILE:skip=2,count=6",
+                                           "socket:ENOBUFS:skip=2,count=6",
+                                           "socket:EMFILE:skip=2,count=6",
+                                           "connect:EADDRNOTAVAIL:skip=1,count=6",
+                                           "connect:EINTR",
+                                           "connect:ENETUNREACH:skip=1,count=6",
+                                           "epoll_ctl:ENOMEM:skip=6,count=6"};
+  for (const std::string& fault : faults) {
+    CAPTURE(fault);
+    TestServer server, discovery(false, true);  // discovery stays silent
+    Program program(ProgramConfig(0, server.port, discovery.port), WithFaults(fault));
+    ProxyFixture fixture;  // only for its bounded waits
+    std::uint16_t port = ReadPort(fixture, program, "started as n0 on port ");
+    for (int i = 0; i < 6; ++i)
+      ExpectServed(fixture, port, server, "d" + std::to_string(i), "Connection: close\r\n");
+    CHECK(program.ReadLog().find("no response to consecutive attempts") == std::string::npos);
+    program.Signal(SIGTERM);
+    CHECK(program.Wait() == 0);
+  }
+}
+
+TEST_CASE("time in the accept queue is added to what a server is told") {
+  constexpr Micros kStated = 15'000 * kMs;  // by SafeRequest
+  constexpr Micros kSlack = 150 * kMs;
+  TestServer server;
+  Program program(ProgramConfig(0, server.port), WithFaults("accept4:ENFILE:count=40"));
+  ProxyFixture fixture;  // only for its bounded waits
+  std::uint16_t port = ReadPort(fixture, program, "started as n0 on port ");
+  TestConnection client = TestConnection::Connect(port);
+  const Micros sent_at = fixture.loop.Now();
+  client.Send(SafeRequest("q"));
+  TestConnection& at = fixture.WaitForRequest(server, "q");
+  const Micros waited = fixture.loop.Now() - sent_at;
+  CHECK(waited > 2 * kSlack);  // or the test shows nothing
+  CHECK(StatedTimeout(at.text) <= kStated - waited + kSlack);
+}
+
+TEST_CASE("system calls that fail in service cost requests") {
+  const std::string faults =
+      "accept4:ECONNABORTED:chance=10;accept4:ENFILE:chance=10;accept4:ENOBUFS:chance=10;accept4:"
+      "EHOSTUNREACH:chance=10;"
+      "socket:ENFILE:chance=15;connect:EADDRNOTAVAIL:chance=15;connect:EINTR:chance=15;epoll_ctl:ENOMEM:"
+      "chance=15;"
+      "epoll_wait:EINTR:chance=20;poll:EINTR:chance=20;recv:short:chance=50;recv:EINTR:chance=10;recv:ENOMEM:"
+      "chance=10;"
+      "sendmsg:short:chance=50;sendmsg:EINTR:chance=10;sendmsg:ENOBUFS:chance=10";
+  TestServer server;
+  Program program(ProgramConfig(0, server.port), WithFaults(faults, "11"));
+  ProxyFixture fixture;  // only for its bounded waits
+  std::uint16_t port = ReadPort(fixture, program, "started as n0 on port ");
+  for (int i = 0; i < 60; ++i) {
+    ExpectServed(fixture, port, server, "s" + std::to_string(i), i % 2 == 0 ? "Connection: close\r\n" : "");
+  }
+  CHECK(program.ReadLog().find("no response to consecutive attempts") == std::string::npos);
+  program.Signal(SIGTERM);
+  CHECK(program.Wait() == 0);
+}
+
+TEST_CASE("a flood of bad requests hides the counters in the log") {
+  TestServer server;
+  Program program(ProgramConfig(0, server.port));
+  ProxyFixture fixture;  // only for its bounded waits
+  std::uint16_t port = ReadPort(fixture, program, "started as n0 on port ");
+  for (int i = 0; i < 120; ++i) {
+    TestConnection client = TestConnection::Connect(port);
+    client.Send("GET /api HTTP/1.1\r\nRequest-Class: nobody\r\n\r\n");
+    fixture.WaitForData(client, "HTTP/1.1 400 ");
+  }
+  ExpectServed(fixture, port, server, "f0");
+  fixture.WaitUntil("the counters are logged",
+                    [&] { return program.ReadLog().find("passed: 1 in, 1 served") != std::string::npos; });
+  fixture.WaitUntil("the reasons are logged",
+                    [&] { return program.ReadLog().find(" malformed, ") != std::string::npos; });
+}
+
+TEST_CASE("a drain is lost when the folder cannot be written for a while") {
+  for (const std::string fault :
+       {"write:ENOSPC:count=3", "write:short", "fsync:EIO:count=3", "rename:EIO:count=3"}) {
+    CAPTURE(fault);
+    char folder[] = "/tmp/dappletiller-state-XXXXXX";
+    REQUIRE(::mkdtemp(folder) != nullptr);
+    TestServer server;
+    Environment environment = WithFaults(fault);
+    environment.emplace_back("TMPDIR", folder);
+    environment.emplace_back("BALANCER_CONSOLE", "127.0.0.1:0");
+    Program program(ProgramConfig(0, server.port), environment);
+    ProxyFixture fixture;  // only for its bounded waits
+    std::uint16_t console = ReadPort(fixture, program, "console on port ");
+    TestConnection operators = TestConnection::Connect(console);
+    operators.Send("PUT /_plan-servers/detach?who=s HTTP/1.1\r\nHost: x\r\n\r\n");
+    fixture.WaitForData(operators, "HTTP/1.1 200 ");
+    fixture.WaitUntil("the drain is in the file", [&] {
+      std::ifstream file(std::string(folder) + "/dappletiller-n0.held.json");
+      return std::string(std::istreambuf_iterator<char>(file), {}).find("[\"s\"]") != std::string::npos;
+    });
+    program.Signal(SIGTERM);
+    CHECK(program.Wait() == 0);
+    std::filesystem::remove_all(folder);
+  }
+}
+
+TEST_CASE("a reload is dropped when its file cannot be read for a moment") {
+  for (const std::string fault : {"open:ENFILE:path=config.json,skip=1,count=3", "read:EIO:skip=4,count=3"}) {
+    CAPTURE(fault);
+    TestServer server;
+    Program program(ProgramConfig(0, server.port), WithFaults(fault));
+    ProxyFixture fixture;  // only for its bounded waits
+    ReadPort(fixture, program, "started as n0 on port ");
+    for (int i = 0; i < 4; ++i) {
+      program.Signal(SIGHUP);
+      ::poll(nullptr, 0, 100);
+    }
+    fixture.WaitUntil("the reload is done",
+                      [&] { return program.ReadLog().find("trying again") != std::string::npos; });
+    fixture.WaitUntil("the reload is done",
+                      [&] { return program.ReadLog().find("reload: done") != std::string::npos; });
+    CHECK(program.ReadLog().find("the old configuration stays") == std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
--- a/tests/fault_injection/syscall_faults.cpp
+++ b/tests/fault_injection/syscall_faults.cpp
@@ -120,6 +120,8 @@
     return offset;
   }
 
+  int signal_descriptor = -1;
+
   void SetUpstream(int descriptor, bool upstream) {
     if (descriptor >= 0 && static_cast<std::size_t>(descriptor) < kMaxDescriptors) {
       upstream_[static_cast<std::size_t>(descriptor)] = upstream;
@@ -283,7 +285,8 @@
 
 int signalfd(int fd, const sigset_t* mask, int flags) noexcept {
   static auto* const next = Resolve<decltype(::signalfd)>("signalfd");
-  return Fails(Faults::Get().Next("signalfd")) ? -1 : next(fd, mask, flags);
+  if (Fails(Faults::Get().Next("signalfd"))) return -1;
+  return Faults::Get().signal_descriptor = next(fd, mask, flags);
 }
 
 int open(const char* path, int flags, ...) {
@@ -302,6 +305,7 @@
 
 ssize_t read(int fd, void* bytes, size_t size) {
   static auto* const next = Resolve<decltype(::read)>("read");
+  if (fd == Faults::Get().signal_descriptor) return next(fd, bytes, size);  // is read whole (signalfd(2))
   const int effect = Faults::Get().Next("read", {}, fd);
   if (Fails(effect)) return -1;
   return next(fd, bytes, effect == kShort ? Faults::Get().Part(size) : size);
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -288,6 +288,12 @@
          "\r\nRequest-Class: pay\r\nRequest-Timeout: " + std::to_string(milliseconds) +
          "m\r\nContent-Length: 3\r\n\r\npay";
 }
+// The timeout in microseconds that a forwarded request states; -1: none.
+inline Micros StatedTimeout(const std::string& request) {
+  const std::string header = "Request-Timeout: ";
+  const auto at = request.find(header);
+  return at == std::string::npos ? -1 : std::atoll(request.c_str() + at + header.size());
+}
 inline std::string Response(int status, const std::string& body = "", const std::string& more = "") {
   return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n" + more + "\r\n" + body;
