Hold each byte of pipelined requests once, and process them in a loop

Cause: TakeMessage copied all bytes behind a message into the next one and left them in the message taken as well, so that thousands of small messages held 40 KB each; and a response that was written at once processed the next request from within (ProcessInput, SendStatus, Flush, OnFlushed, ProcessInput), so all of them were alive together, each on its own stack frames. Change: the parser keeps bytes behind a message once and a message holds its own; the connection processes requests in a loop; the dispatcher releases the payload of a finished request at once.

--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -149,14 +149,16 @@
 
 // While events are queued, the request is kept: the module may not know yet that the request has ended, may
 // send another attempt, and must receive an outcome with the right attempt number.
+// Its payload is released at once: one client's pipelined requests may all end while one event is delivered.
 void RequestDispatcher::EraseIfFinished(RequestId id) {
+  auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.sink != nullptr || it->second.attempts_in_flight != 0) return;
   if (delivering_) {
+    it->second.payload = nullptr;
     finished_.push_back(id);
-    return;
-  }
-  auto it = requests_.find(id);
-  if (it != requests_.end() && it->second.sink == nullptr && it->second.attempts_in_flight == 0)
+  } else {
     requests_.erase(it);
+  }
 }
 
 void RequestDispatcher::OnClientDisconnected(RequestId id) {
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -175,20 +175,31 @@
     received_.Add(n, parser_.buffered(), listener_.loop_.Now());
   }
 
+  // A response may be written at once, and then the next request is processed: in this loop, since a client
+  // can pipeline thousands.
   void ProcessInput() {
+    if (processing_) return;
+    processing_ = true;
+    while (socket.open() && state_ == State::kReading && ProcessNextRequest()) {
+    }
+    processing_ = false;
+  }
+
+  // Returns whether a request was taken.
+  bool ProcessNextRequest() {
     if (parser_.bad()) {
       bool out_of_memory = parser_.error_status() == 503;
-      return Reject(parser_.error_status(), out_of_memory ? "no memory for a long body is left now"
-                                                          : "the request is malformed or too large");
+      Reject(parser_.error_status(), out_of_memory ? "no memory for a long body is left now"
+                                                   : "the request is malformed or too large");
+      return false;
     }
     if (parser_.wants_continue()) {
       parser_.continued();
       socket.output().Append("HTTP/1.1 100 Continue\r\n\r\n");
       socket.Flush();
     }
-    if (!parser_.done() && pipeline_overflow_)
-      return Reject(413, "too much data was sent before the response");
-    if (!parser_.done() || !socket.open()) return;
+    if (!parser_.done() && pipeline_overflow_) Reject(413, "too much data was sent before the response");
+    if (!parser_.done() || !socket.open()) return false;
     std::size_t buffered = parser_.buffered();
     http::MessageRef request = parser_.TakeMessage();
     last_byte_at_ = received_.Take(buffered - parser_.buffered());
@@ -199,9 +210,11 @@
       // With a socket inherited from the platform, a successor process serves the clients, so the proxy is
       // still up.
       bool up = !listener_.lame_duck_ && !(listener_.draining_ && !listener_.inherited_);
-      return SendStatus(up ? 200 : 503, up ? "up" : "leaving", 0);
+      SendStatus(up ? 200 : 503, up ? "up" : "leaving", 0);
+    } else {
+      DispatchRequest(std::move(request));
     }
-    DispatchRequest(std::move(request));
+    return true;
   }
 
   void DispatchRequest(http::MessageRef request) {
@@ -316,6 +329,7 @@
   Micros last_byte_at_ = 0;             // of the request taken last
   bool awaiting_first_request_ = true;  // no complete request yet
   bool keep_alive_ = true;
+  bool processing_ = false;         // within ProcessInput
   bool pipeline_overflow_ = false;  // pipelined data exceeded the limit
 };
 
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -60,19 +60,9 @@
 }
 
 void Parser::Feed(std::string_view bytes) {
-  while (!bytes.empty()) {
-    const std::span<char> buffer = ReceiveBuffer();
-    if (buffer.empty()) {
-      message_->bytes_.resize(received_);
-      message_->bytes_.append(bytes);
-      received_ += bytes.size();
-      return;
-    }
-    const std::size_t count = std::min(buffer.size(), bytes.size());
-    std::memcpy(buffer.data(), bytes.data(), count);
-    bytes.remove_prefix(count);
-    Commit(count);
-  }
+  if (bad()) return;
+  pending_.append(bytes);
+  ParsePending();
 }
 
 void Parser::OnStreamEnd() {
@@ -80,18 +70,45 @@
 }
 
 MessageRef Parser::TakeMessage() {
-  auto next_message = std::make_unique<Message>();
-  next_message->bytes_.assign(message_->bytes_, next_, received_ - next_);
-  MessageRef taken = std::move(message_);
-  message_ = std::move(next_message);
-  received_ = message_->bytes_.size();
+  ReturnToPending();
+  MessageRef taken = std::exchange(message_, std::make_unique<Message>());
   state_ = State::kHead;
-  scanned_ = next_ = body_end_ = remaining_ = trailer_size_ = 0;
+  received_ = scanned_ = next_ = body_end_ = remaining_ = trailer_size_ = 0;
   http10_ = wants_continue_ = false;
-  Run();
+  ParsePending();
   return taken;
 }
 
+// Takes the bytes behind a complete message out of it: they belong to the next one, and the message may be
+// kept for long.
+void Parser::ReturnToPending() {
+  const std::size_t behind = received_ - next_;
+  if (pending_begin_ >= behind) {
+    pending_begin_ -= behind;  // they came from there
+  } else {
+    pending_.replace(0, pending_begin_, message_->bytes_, next_, behind);
+    pending_begin_ = 0;
+  }
+  received_ = next_;
+  message_->bytes_.resize(next_);
+  const bool mostly_parsed = pending_begin_ > pending_.size() / 2;
+  if (mostly_parsed) pending_.erase(0, std::exchange(pending_begin_, 0));
+}
+
+// Parses pending bytes up to the end of the next message.
+void Parser::ParsePending() {
+  while (pending_begin_ < pending_.size()) {
+    const std::span<char> buffer = ReceiveBuffer();
+    if (buffer.empty()) return;
+    const std::size_t count = std::min(buffer.size(), pending_.size() - pending_begin_);
+    std::memcpy(buffer.data(), pending_.data() + pending_begin_, count);
+    pending_begin_ += count;
+    Commit(count);
+  }
+  pending_.clear();
+  pending_begin_ = 0;
+}
+
 void Parser::Run() {
   while (Step()) {
   }
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -49,8 +49,9 @@
   bool bad() const { return state_ == State::kBad; }
   // The status for a malformed message: 400, 413, 431, or 503 if no memory for a long body is available.
   int error_status() const { return error_status_; }
-  bool begun() const { return received_ > 0; }        // part of a message has been received
-  std::size_t buffered() const { return received_; }  // buffered bytes, including those of later messages
+  bool begun() const { return buffered() > 0; }  // part of a message has been received
+  // Buffered bytes, including those of later messages.
+  std::size_t buffered() const { return received_ + pending_.size() - pending_begin_; }
   // Whether the client waits for "100 Continue" before it sends the body.
   bool wants_continue() const { return wants_continue_; }
   void continued() { wants_continue_ = false; }
@@ -72,6 +73,8 @@
   // The body's framing according to the headers.
   struct Framing;
 
+  void ReturnToPending();
+  void ParsePending();
   void Run();
   // Each returns whether another step is possible now.
   bool Step();
@@ -99,6 +102,9 @@
   State state_ = State::kHead;
   int error_status_ = 0;
   std::unique_ptr<Message> message_;
+  // Bytes behind a complete message, from `pending_begin_` on.
+  std::string pending_;
+  std::size_t pending_begin_ = 0;
   // Positions in the message's bytes.
   std::size_t received_ = 0;   // number of received bytes
   std::size_t scanned_ = 0;    // searched for the end of the head up to here
