Try a start again while system calls fail in ways that pass by themselves

Cause: each call of the start that failed once (epoll_create1, socket, bind, listen, epoll_ctl, reading the configuration: ENFILE, ENOBUFS, ENOMEM, EINTR, EIO, an address not yet free) ended the process with 'cannot start', exit code 1; a signalfd that failed was ignored, and the process then heard no SIGTERM. Change: the start is repeated every 20 ms, for 20 s where the machine is short of something and for 3 s while the address is taken; other errors end it at once, in one line as before. Files are read by calls whose errors are kept (io/file), an inherited socket survives a failed attempt, and an error after the start is no longer called 'cannot start'.

--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -5,10 +5,12 @@
 #include <algorithm>
 #include <array>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
+#include <stdexcept>
+#include <system_error>
 
 #include "config/section.hpp"
+#include "io/file.hpp"
+#include "io/transient_error.hpp"
 
 namespace dappletiller::operators {
 namespace {
@@ -166,11 +168,10 @@
   return control;
 }
 
-std::string Slurp(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw std::runtime_error("cannot be read, or is empty");
-  return text.str();
+std::string ReadNonEmpty(const std::string& path) {
+  std::string text = dappletiller::ReadFile(path);
+  if (text.empty()) throw std::runtime_error("is empty");
+  return text;
 }
 
 }  // namespace
@@ -194,7 +195,10 @@
 OperatorFile LoadOperatorFile(const std::string& path) {
   std::string text;
   try {
-    text = Slurp(path);
+    text = ReadNonEmpty(path);
+  } catch (const std::system_error& e) {
+    if (IsShortage(e.code().value())) throw;
+    throw OperatorError(path + ": cannot be read: " + e.what() + "; give the path of a TOML file");
   } catch (const std::runtime_error& e) {
     throw OperatorError(path + ": " + e.what() + "; give the path of a TOML file");
   }
@@ -207,7 +211,7 @@
     if (::stat(key.c_str(), &info) == 0 && (info.st_mode & 077) != 0) {
       throw std::runtime_error("is accessible to other users; restrict it with chmod 600");
     }
-    return Slurp(key.string());
+    return ReadNonEmpty(key.string());
   });
   if (file.control && !file.control->origin.empty())
     file.control->origin = (folder / file.control->origin).string();
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -420,6 +420,8 @@
   descriptors_.SetCloseUnused(DescriptorLimit::Side::kDownstream, nullptr);
   descriptors_.SetOnAvailable(nullptr);
   if (listener_) loop_.Unwatch(token_, listener_.get());
+  // The platform's socket stays open: another attempt to start may use it.
+  if (inherited_) listener_.Release();
 }
 
 void DownstreamListener::Listen() {
--- a/src/io/file_descriptor.hpp
+++ b/src/io/file_descriptor.hpp
@@ -19,6 +19,8 @@
 
   int get() const { return fd_; }
   explicit operator bool() const { return fd_ >= 0; }
+  // Gives up ownership without closing.
+  int Release() { return std::exchange(fd_, -1); }
   // Closes the descriptor.
   void Reset();
 
--- a/src/io/signals.cpp
+++ b/src/io/signals.cpp
@@ -3,7 +3,9 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
+#include <system_error>
 
 namespace dappletiller {
 namespace {
@@ -29,7 +31,9 @@
 void SignalWatcher::Start() {
   const sigset_t set = WatchedSignals();
   signals_ = FileDescriptor(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+  if (!signals_) throw std::system_error(errno, std::generic_category(), "signalfd");
   watch_ = loop_.Watch(signals_.get(), this);
+  if (watch_ == 0) throw std::system_error(errno, std::generic_category(), "signalfd: epoll_ctl");
 }
 
 void SignalWatcher::OnReady(std::uint32_t) {
--- a/src/io/signals.hpp
+++ b/src/io/signals.hpp
@@ -28,6 +28,7 @@
   SignalWatcher(const SignalWatcher&) = delete;
   SignalWatcher& operator=(const SignalWatcher&) = delete;
   // Starts delivering signals. Several signals of one kind count as one; a reload is delivered before a stop.
+  // Throws std::system_error.
   void Start();
 
  private:
--- a/src/proxy/environment.cpp
+++ b/src/proxy/environment.cpp
@@ -3,11 +3,11 @@
 #include <charconv>
 #include <cstdlib>
 #include <cstring>
-#include <fstream>
-#include <sstream>
 #include <string>
 #include <system_error>
 
+#include "io/file.hpp"
+
 namespace dappletiller {
 namespace {
 
@@ -17,18 +17,24 @@
   return value != nullptr && *value != '\0' ? value : nullptr;
 }
 
+std::string ReadNamedFile(const std::string& path) {
+  try {
+    return ReadFile(path);
+  } catch (const std::system_error& error) {
+    throw std::system_error(error.code(), path + " cannot be read");
+  }
+}
+
 }  // namespace
 
 Config LoadConfig() {
   const char* path = std::getenv("BALANCER_CONFIG");
   if (path == nullptr) throw ConfigError("BALANCER_CONFIG is not set");
-  std::ifstream file(path, std::ios::binary);
-  if (!file) throw ConfigError(std::string(path) + " cannot be read");
-  std::ostringstream text;
-  // An empty file sets the stream's failbit. It has its own message, since files are often only half written.
-  if (!(text << file.rdbuf()) || text.str().empty()) throw ConfigError(std::string(path) + " is empty");
+  const std::string text = ReadNamedFile(path);
+  // It has its own message, since files are often only half written.
+  if (text.empty()) throw ConfigError(std::string(path) + " is empty");
   try {
-    return ParseConfig(text.str());
+    return ParseConfig(text);
   } catch (const ConfigError& error) {
     throw ConfigError(std::string(path) + ": " + error.what());
   }
--- a/src/proxy/environment.hpp
+++ b/src/proxy/environment.hpp
@@ -1,5 +1,5 @@
 // Settings from the environment: the configuration file, the console's address, an inherited socket. All
-// functions throw ConfigError.
+// functions throw ConfigError, and std::system_error where a file cannot be read.
 #ifndef DAPPLETILLER_PROXY_ENVIRONMENT_HPP_
 #define DAPPLETILLER_PROXY_ENVIRONMENT_HPP_
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,12 +1,19 @@
 #include "proxy/proxy.hpp"
 
+#include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <exception>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <thread>
 #include <utility>
 
 #include "admin/console.hpp"
 #include "io/log.hpp"
 #include "io/signals.hpp"
+#include "io/transient_error.hpp"
 #include "proxy/components.hpp"
 #include "proxy/console_commands.hpp"
 #include "proxy/drain_state_storage.hpp"
@@ -17,6 +24,10 @@
 namespace dappletiller {
 namespace {
 
+constexpr Micros kRetryDelay = 20'000;  // after a system call that failed for now
+constexpr Micros kMaxStartTime = 20'000'000;
+constexpr Micros kMaxAddressWait = 3'000'000;
+
 class Proxy final : private SignalHandler {
  public:
   Proxy(Log& log, Config config, const std::string& operator_path)
@@ -27,7 +38,8 @@
         console_(components_.loop, log, commands_),
         shutdown_(components_) {}
 
-  void Run() {
+  // Throws std::system_error, ConfigError or another exception if the proxy cannot serve.
+  void Start() {
     Log& log = components_.log;
     signals_.Start();
     if (auto drains = drain_state_.Load()) components_.dispatcher.RestoreDrains(std::move(*drains));
@@ -40,8 +52,11 @@
     if (components_.feed) components_.feed->client.Start();
     log.Important("started as %s on port %u with %zu servers known", components_.config.name.c_str(),
                   components_.listener.port(), components_.config.known.entries.size());
+  }
+
+  void Run() {
     components_.loop.Run();
-    log.Important("stopped");
+    components_.log.Important("stopped");
   }
 
  private:
@@ -68,20 +83,54 @@
   GracefulShutdown shutdown_;
 };
 
+// A predecessor that was killed may still hold the address; anything else may take longer to pass.
+bool MayPass(const std::system_error& error, Micros elapsed) {
+  if (error.code().value() == EADDRINUSE) return elapsed < kMaxAddressWait;
+  return IsShortage(error.code().value()) && elapsed < kMaxStartTime;
+}
+
+// A system call may fail for a moment, above all when many processes restart together.
+std::unique_ptr<Proxy> StartProxy(Log& log, const std::string& operator_path) {
+  Micros elapsed = 0;
+  std::string last_failure;
+  for (;;) {
+    try {
+      auto proxy = std::make_unique<Proxy>(log, LoadConfig(), operator_path);
+      proxy->Start();
+      if (!last_failure.empty()) {
+        log.Important("start: succeeded after %.2f s of failures; the last: %s",
+                      static_cast<double>(elapsed) / 1e6, last_failure.c_str());
+      }
+      return proxy;
+    } catch (const std::system_error& error) {
+      if (!MayPass(error, elapsed)) throw;
+      last_failure = error.what();
+    }
+    std::this_thread::sleep_for(std::chrono::microseconds(kRetryDelay));
+    elapsed += kRetryDelay;
+  }
+}
+
 }  // namespace
 
 int Serve(const std::string& operator_path) {
   Log log(stderr, "dappletiller");
   std::signal(SIGPIPE, SIG_IGN);
   SignalWatcher::Block();
+  std::unique_ptr<Proxy> proxy;
+  try {
+    proxy = StartProxy(log, operator_path);
+  } catch (const std::exception& error) {
+    log.Important("cannot start: %s", error.what());
+    return 1;
+  }
   try {
-    Proxy proxy(log, LoadConfig(), operator_path);
-    proxy.Run();
-    return 0;
+    proxy->Run();
   } catch (const std::exception& error) {
-    log.Info("cannot start: %s", error.what());
+    log.Important("ended by an error: %s", error.what());
     return 1;
   }
+  return 0;
 }
 
 }  // namespace dappletiller
