Write the state of drains until it is written, and sync it

An operators' drain was answered with 200 and lost to the successor if its file could not be written at that moment (ENOSPC, EIO), and was never synced. Change: the write is repeated every 0.1 s until it succeeds, the file and its folder are synced, and the process waits for that on its way out. A file that cannot be read for now fails the start, which is tried again.

--- a/src/proxy/console_commands.hpp
+++ b/src/proxy/console_commands.hpp
@@ -11,7 +11,7 @@
 class ConsoleCommands final : public ConsoleHandler {
  public:
   // Both must outlive this object.
-  ConsoleCommands(ProxyComponents& components, const DrainStateStorage& storage)
+  ConsoleCommands(ProxyComponents& components, DrainStateStorage& storage)
       : components_(components), storage_(storage) {}
 
   // From now on the proxy reports that it is not ready.
@@ -26,7 +26,7 @@
   ConsoleReply ShowSettings() const;
 
   ProxyComponents& components_;
-  const DrainStateStorage& storage_;
+  DrainStateStorage& storage_;
   bool shutting_down_ = false;
 };
 
--- a/src/proxy/drain_state_storage.cpp
+++ b/src/proxy/drain_state_storage.cpp
@@ -1,54 +1,60 @@
 #include "proxy/drain_state_storage.hpp"
 
-#include <unistd.h>
-
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <system_error>
 
 #include "drain/drain_state_file.hpp"
+#include "io/file.hpp"
+#include "io/transient_error.hpp"
 
 namespace dappletiller {
 namespace {
 
+constexpr Micros kRetryDelay = 100'000;
+
 std::string TemporaryFolder() {
   const char* folder = std::getenv("TMPDIR");
   return folder != nullptr && *folder != '\0' ? folder : "/tmp";
 }
 
-bool WriteFile(const std::string& path, const std::string& text) {
-  std::ofstream file(path, std::ios::binary | std::ios::trunc);
-  file << text;
-  return static_cast<bool>(file.flush());
-}
-
 }  // namespace
 
-DrainStateStorage::DrainStateStorage(Log& log, const std::string& proxy_name)
-    : log_(log), path_(TemporaryFolder() + "/dappletiller-" + proxy_name + ".held.json") {}
+DrainStateStorage::DrainStateStorage(EventLoop& loop, Log& log, const std::string& proxy_name)
+    : log_(log), path_(TemporaryFolder() + "/dappletiller-" + proxy_name + ".held.json"), retry_(loop) {}
 
 std::optional<drain::AdministrativeDrains> DrainStateStorage::Load() const {
-  std::ifstream file(path_, std::ios::binary);
-  if (!file) return std::nullopt;
-  std::ostringstream text;
-  text << file.rdbuf();
-  auto drains = drain::ParseDrains(text.str());
+  std::string text;
+  try {
+    text = ReadFile(path_);
+  } catch (const std::system_error& error) {
+    if (IsShortage(error.code().value())) throw;
+    return std::nullopt;
+  }
+  auto drains = drain::ParseDrains(text);
   if (!drains) log_.Info("drain state: %s is incomplete or has another format; ignored", path_.c_str());
   return drains;
 }
 
-void DrainStateStorage::Save(const drain::AdministrativeDrains& drains) const {
-  const std::string temporary = path_ + "." + std::to_string(::getpid());
-  if (!WriteFile(temporary, drain::SerializeDrains(drains))) {
-    log_.Info("drain state: %s cannot be written; a successor will not know the drained servers",
-              temporary.c_str());
+void DrainStateStorage::Save(const drain::AdministrativeDrains& drains) {
+  unsaved_ = drain::SerializeDrains(drains);
+  Write();
+}
+
+void DrainStateStorage::Write() {
+  const std::error_code error = ReplaceFile(path_, unsaved_);
+  if (error) {
+    if (failures_++ == 0) {
+      log_.Important(
+          "drain state: %s cannot be written: %s; a successor will not know the drained servers until it is",
+          path_.c_str(), error.message().c_str());
+    }
+    retry_.Set(kRetryDelay, [this] { Write(); });
     return;
   }
-  std::error_code error;
-  std::filesystem::rename(temporary, path_, error);
-  if (error) log_.Info("drain state: %s: %s", path_.c_str(), error.message().c_str());
+  if (failures_ > 0) log_.Important("drain state: %s written after %d failures", path_.c_str(), failures_);
+  failures_ = 0;
+  unsaved_.clear();
+  retry_.Clear();
 }
 
 }  // namespace dappletiller
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -50,7 +50,7 @@
 bool GracefulShutdown::IsFinished() const {
   const bool has_left_fleet = !components_.membership || components_.membership->has_left();
   const bool no_clients = components_.listener.closed() && components_.listener.connections() == 0;
-  return components_.dispatcher.open_requests() == 0 && no_clients && has_left_fleet;
+  return components_.dispatcher.open_requests() == 0 && no_clients && has_left_fleet && drain_state_.saved();
 }
 
 }  // namespace dappletiller
--- a/src/proxy/graceful_shutdown.hpp
+++ b/src/proxy/graceful_shutdown.hpp
@@ -4,13 +4,15 @@
 #define DAPPLETILLER_PROXY_GRACEFUL_SHUTDOWN_HPP_
 
 #include "proxy/components.hpp"
+#include "proxy/drain_state_storage.hpp"
 
 namespace dappletiller {
 
 class GracefulShutdown {
  public:
-  // `components` must outlive it.
-  explicit GracefulShutdown(ProxyComponents& components) : components_(components), timer_(components.loop) {}
+  // Both must outlive it.
+  GracefulShutdown(ProxyComponents& components, const DrainStateStorage& drain_state)
+      : components_(components), drain_state_(drain_state), timer_(components.loop) {}
 
   bool has_begun() const { return has_begun_; }
   // Begins the shutdown; stops the event loop when all requests are answered or the time is over. To be
@@ -22,6 +24,7 @@
   bool IsFinished() const;
 
   ProxyComponents& components_;
+  const DrainStateStorage& drain_state_;
   Timer timer_;
   bool has_begun_ = false;
   Micros answer_by_ = 0;  // on the event loop's clock
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -33,10 +33,10 @@
   Proxy(Log& log, Config config, const std::string& operator_path)
       : components_(log, std::move(config), operator_path),
         signals_(components_.loop, *this),
-        drain_state_(log, components_.config.name),
+        drain_state_(components_.loop, log, components_.config.name),
         commands_(components_, drain_state_),
         console_(components_.loop, log, commands_),
-        shutdown_(components_) {}
+        shutdown_(components_, drain_state_) {}
 
   // Throws std::system_error, ConfigError or another exception if the proxy cannot serve.
   void Start() {
