Read the files of a reload again when reading fails for a moment

A SIGHUP changed nothing for good if opening or reading the configuration failed once (ENFILE, EIO). A file that is at fault changes nothing, as before.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -27,6 +27,7 @@
 constexpr Micros kRetryDelay = 20'000;  // after a system call that failed for now
 constexpr Micros kMaxStartTime = 20'000'000;
 constexpr Micros kMaxAddressWait = 3'000'000;
+constexpr Micros kMaxReloadTime = 3'000'000;
 
 class Proxy final : private SignalHandler {
  public:
@@ -36,7 +37,8 @@
         drain_state_(components_.loop, log, components_.config.name),
         commands_(components_, drain_state_),
         console_(components_.loop, log, commands_),
-        shutdown_(components_, drain_state_) {}
+        shutdown_(components_, drain_state_),
+        reload_retry_(components_.loop) {}
 
   // Throws std::system_error, ConfigError or another exception if the proxy cannot serve.
   void Start() {
@@ -68,7 +70,23 @@
                               self.name.c_str(), self.address.c_str());
   }
 
-  void OnReloadSignal() override { Reload(&components_); }
+  void OnReloadSignal() override {
+    reload_until_ = components_.loop.Now() + kMaxReloadTime;
+    TryReload();
+  }
+
+  void TryReload() {
+    try {
+      Reload(&components_);
+      reload_retry_.Clear();
+    } catch (const std::system_error& error) {
+      const bool again = components_.loop.Now() < reload_until_;
+      components_.log.Important("reload: %s; %s", error.what(),
+                                again ? "trying again" : "the old configuration stays");
+      if (again) reload_retry_.Set(kRetryDelay, [this] { TryReload(); });
+    }
+  }
+
   void OnStopSignal() override {
     if (shutdown_.has_begun()) return;
     commands_.OnShutdown();
@@ -81,6 +99,8 @@
   ConsoleCommands commands_;
   Console console_;
   GracefulShutdown shutdown_;
+  Timer reload_retry_;
+  Micros reload_until_ = 0;  // time of the last attempt to read the files
 };
 
 // A predecessor that was killed may still hold the address; anything else may take longer to pass.
--- a/src/proxy/reload.cpp
+++ b/src/proxy/reload.cpp
@@ -2,8 +2,10 @@
 
 #include <exception>
 #include <optional>
+#include <system_error>
 #include <utility>
 
+#include "io/transient_error.hpp"
 #include "proxy/environment.hpp"
 #include "proxy/options.hpp"
 
@@ -15,14 +17,22 @@
   operators::OperatorFile operator_file;  // empty without one
 };
 
+void LogRejected(const ProxyComponents& components, const std::exception& error) {
+  components.log.Important("reload: the old configuration stays: %s", error.what());
+}
+
 std::optional<LoadedFiles> LoadFiles(const ProxyComponents& components) {
   LoadedFiles files;
   try {
     files.config = LoadConfig();
     if (!components.operator_path.empty())
       files.operator_file = operators::LoadOperatorFile(components.operator_path);
+  } catch (const std::system_error& error) {
+    if (IsShortage(error.code().value())) throw;
+    LogRejected(components, error);
+    return std::nullopt;
   } catch (const std::exception& error) {  // an invalid file must not end the process
-    components.log.Important("reload: the old configuration stays: %s", error.what());
+    LogRejected(components, error);
     return std::nullopt;
   }
   return files;
--- a/src/proxy/reload.hpp
+++ b/src/proxy/reload.hpp
@@ -8,7 +8,8 @@
 namespace dappletiller {
 
 // Reads both files anew. What the decision module was made with, and the address that clients know, change
-// only with a restart; the log says so. A file that is at fault changes nothing, and is logged.
+// only with a restart; the log says so. A file that is at fault changes nothing, and is logged. Throws
+// std::system_error, with nothing changed, if a file cannot be read for now.
 void Reload(ProxyComponents* components);
 
 }  // namespace dappletiller
