Try calls of connections again that fail for a moment, and blame no server for them

While accept, socket, connect, epoll_ctl, recv or send failed for a moment, requests were rejected or never answered: a dial that this machine could not make counted as a failure of the server and, four in a row, of its zone; a connection accepted while epoll had no memory was closed unread; ENOBUFS or ENOMEM at a read or write broke a connection; EINTR at a peek or poll was taken for an answer, after which a listener could wait for ever. Change: a postponed dial is repeated every 5 ms until the connect timeout and then ends as not sent; an accepted connection waits for epoll; the errors that accept(2) hands over from the network concern one connection only, others are tried again after 10 ms (50 ms in console and membership); connect's EINTR counts as in progress.

--- a/src/admin/console.cpp
+++ b/src/admin/console.cpp
@@ -8,11 +8,13 @@
 #include "http/parser.hpp"
 #include "http/writer.hpp"
 #include "io/stream_socket.hpp"
+#include "io/transient_error.hpp"
 
 namespace dappletiller {
 namespace {
 
 constexpr int kBacklog = 64;
+constexpr Micros kAcceptRetryDelay = 50'000;
 
 }  // namespace
 
@@ -70,7 +72,7 @@
 };
 
 Console::Console(EventLoop& loop, Log& log, ConsoleHandler& handler)
-    : loop_(loop), log_(log), handler_(handler) {}
+    : loop_(loop), log_(log), handler_(handler), accept_retry_(loop) {}
 
 Console::~Console() {
   if (listener_) loop_.Unwatch(token_, listener_.get());
@@ -84,19 +86,23 @@
   if (token_ == 0) throw std::system_error(errno, std::generic_category(), "console: epoll_ctl");
 }
 
-void Console::OnReady(std::uint32_t) {
+void Console::OnReady(std::uint32_t) { Accept(); }
+
+void Console::Accept() {
   for (;;) {
     FileDescriptor fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd) {
-      if (errno == EINTR || errno == ECONNABORTED) continue;
-      return;  // EAGAIN, or no descriptor: clients wait in the accept queue until the next event
+      if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+      if (ConcernsOneConnection(errno)) continue;
+      accept_retry_.Set(kAcceptRetryDelay, [this] { Accept(); });
+      return;
     }
     // The oldest connection is closed, so that silent clients cannot use up all of them.
     if (connections_.size() >= kMaxConnections) Drop(connections_.begin()->first);
     auto conn = std::make_unique<Connection>(*this, ++ids_);
     Connection& begun = *conn;
     connections_[ids_] = std::move(conn);
-    if (!begun.socket.Adopt(std::move(fd))) Drop(ids_);
+    if (!begun.socket.Adopt(fd)) Drop(ids_);
   }
 }
 
--- a/src/admin/console.hpp
+++ b/src/admin/console.hpp
@@ -45,6 +45,7 @@
  private:
   class Connection;
   void OnReady(std::uint32_t events) override;
+  void Accept();
   void Drop(std::uint64_t id);
 
   EventLoop& loop_;
@@ -52,6 +53,7 @@
   ConsoleHandler& handler_;
   FileDescriptor listener_;
   EventLoop::WatchId token_ = 0;
+  Timer accept_retry_;  // after a failed accept
   std::uint16_t port_ = 0;
   std::uint64_t ids_ = 0;
   std::map<std::uint64_t, std::unique_ptr<Connection>> connections_;  // oldest first
--- a/src/control_server/feed_server.cpp
+++ b/src/control_server/feed_server.cpp
@@ -16,6 +16,7 @@
 #include "http/parser.hpp"
 #include "http/writer.hpp"
 #include "io/stream_socket.hpp"
+#include "io/transient_error.hpp"
 
 namespace dappletiller {
 namespace {
@@ -44,7 +45,7 @@
     AwaitRequest();
   }
 
-  bool Adopt(FileDescriptor accepted) { return socket_.Adopt(std::move(accepted)); }
+  bool Adopt(FileDescriptor accepted) { return socket_.Adopt(accepted); }
   void Close() { socket_.Close(); }
 
   // Entries of these services have changed; relevant only if one is in the request's scope.
@@ -198,8 +199,8 @@
       Add(std::move(accepted));
       continue;
     }
-    if (errno == EINTR || errno == ECONNABORTED) continue;
     if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+    if (ConcernsOneConnection(errno)) continue;
     log_.Info("control: accept failed: %s", std::strerror(errno));
     retry_accept_.Set(kRetryAcceptAfter, [this] { AcceptConnections(); });
     return;
--- a/src/dispatch/counters.hpp
+++ b/src/dispatch/counters.hpp
@@ -15,6 +15,7 @@
   int client_disconnected = 0;  // before the final outcome
   int attempts_sent = 0;
   int connections_opened = 0;  // to upstream servers
+  int dials_postponed = 0;     // since this machine was short of descriptors, memory, ports or a route
   int discovery_requests = 0;
   int discovery_failures = 0;
   std::array<int, 8> attempts_by_outcome{};  // indexed by AttemptOutcome
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -19,12 +19,14 @@
 #include "http/parser.hpp"
 #include "http/text.hpp"
 #include "http/writer.hpp"
+#include "io/poll_now.hpp"
+#include "io/transient_error.hpp"
 
 namespace dappletiller {
 namespace {
 
 constexpr int kMaxAcceptsPerRound = 64;
-constexpr Micros kAcceptRetryDelay = 50'000;
+constexpr Micros kAcceptRetryDelay = 10'000;
 // Maximum time to receive a request, from its first byte or from connecting. A client that sends no complete
 // request must get an error or a close within 3 s of connecting.
 constexpr Micros kReceiveTimeout = 2'400'000;
@@ -474,6 +476,7 @@
   accept_retry_.Clear();
   if (listener_) loop_.Unwatch(token_, listener_.get());
   listener_.Reset();
+  unregistered_.Reset();
 }
 
 void DownstreamListener::OnReady(std::uint32_t) { Accept(); }
@@ -490,17 +493,17 @@
       clients_waiting_ = true;  // resumed when a descriptor is released
       return;
     }
-    FileDescriptor fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!fd) {
+    if (!unregistered_) {
+      unregistered_ =
+          FileDescriptor(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    }
+    if (!unregistered_) {
       if (errno == EAGAIN || errno == EWOULDBLOCK) return;
-      if (errno == EINTR || errno == ECONNABORTED || errno == EPROTO) continue;
-      // The listener stays readable; retry later instead of spinning.
-      log_.Info("listener: accept failed: %s; retrying in 50 ms", std::strerror(errno));
-      accept_retry_.Set(kAcceptRetryDelay, [this] { Accept(); });
-      return;
+      if (ConcernsOneConnection(errno)) continue;
+      return RetryAccept();
     }
     auto connection = std::make_unique<Connection>(*this, ++last_id_);
-    if (!connection->socket.Adopt(std::move(fd))) continue;
+    if (!connection->socket.Adopt(unregistered_)) return RetryAccept();
     descriptors_.Acquire();
     Connection& accepted = *connection;
     connections_[accepted.id] = std::move(connection);
@@ -509,9 +512,14 @@
   }
 }
 
+// The listener stays readable, so that waiting for its next event could take for ever.
+void DownstreamListener::RetryAccept() {
+  log_.Info("listener: accept failed: %s; retrying in 10 ms", std::strerror(errno));
+  accept_retry_.Set(kAcceptRetryDelay, [this] { Accept(); });
+}
+
 bool DownstreamListener::HasWaitingClients() const {
-  pollfd listener{listener_.get(), POLLIN, 0};
-  return ::poll(&listener, 1, 0) > 0;
+  return unregistered_ || PollNow(listener_.get(), POLLIN) != 0;
 }
 
 bool DownstreamListener::CloseIfUnused(limits::ConnectionAdmission::Id id) {
--- a/src/downstream/listener.hpp
+++ b/src/downstream/listener.hpp
@@ -89,6 +89,7 @@
 
   void OnReady(std::uint32_t events) override;
   void Accept();
+  void RetryAccept();
   bool HasWaitingClients() const;
   bool CloseIfUnused(limits::ConnectionAdmission::Id id);
   void CloseExcessIdle();
@@ -109,6 +110,7 @@
   std::unordered_set<std::string> open_request_ids_;  // Request-Ids of open requests
   std::vector<char> discard_buffer_;                  // for data that is discarded
   FileDescriptor listener_;
+  FileDescriptor unregistered_;  // an accepted connection that epoll had no memory for yet
   EventLoop::WatchId token_ = 0;
   Timer accept_retry_;  // retry after a failed accept
   std::uint16_t port_ = 0;
--- a/src/http/client/http_client.cpp
+++ b/src/http/client/http_client.cpp
@@ -47,7 +47,7 @@
   parser_ = Parser(Parser::Kind::kResponse, max_body_size_);
   socket_.output() = OutputBuffer();
   connected_to_ = where;
-  return socket_.Connect(where);
+  return socket_.Connect(where) == ConnectStart::kStarted;
 }
 
 void Client::Close() {
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -13,6 +13,9 @@
 #include <cerrno>
 #include <utility>
 
+#include "io/poll_now.hpp"
+#include "io/transient_error.hpp"
+
 namespace dappletiller {
 namespace {
 
@@ -26,33 +29,41 @@
 
 bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
+// The kernel had no memory for the call (recv(2), send(2)); the connection is intact.
+bool LacksMemory(int error) { return error == ENOMEM || error == ENOBUFS; }
+
 }  // namespace
 
 bool StreamSocket::Register() {
   SetNoDelay(fd_.get());
   broken_ = false;
   watch_ = loop_.Watch(fd_.get(), this);
-  if (watch_ == 0) fd_.Reset();
   return watch_ != 0;
 }
 
-bool StreamSocket::Adopt(FileDescriptor connection) {
+bool StreamSocket::Adopt(FileDescriptor& connection) {
   fd_ = std::move(connection);
-  return Register();
+  if (Register()) return true;
+  connection = std::move(fd_);
+  return false;
 }
 
-bool StreamSocket::Connect(const Endpoint& where) {
+ConnectStart StreamSocket::Connect(const Endpoint& where) {
   fd_ = FileDescriptor(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!fd_) return false;
+  if (!fd_) return ConnectStart::kShortage;
   const sockaddr_in address = ToSocketAddress(where);
   const auto* generic =
       reinterpret_cast<const sockaddr*>(&address);  // NOLINT(*-reinterpret-cast): the sockets API
-  if (::connect(fd_.get(), generic, sizeof address) != 0 && errno != EINPROGRESS) {
+  // After EINTR the connection is established as after EINPROGRESS (connect(2)).
+  if (::connect(fd_.get(), generic, sizeof address) != 0 && errno != EINPROGRESS && errno != EINTR) {
+    const bool is_shortage = IsShortage(errno);
     fd_.Reset();
-    return false;
+    return is_shortage ? ConnectStart::kShortage : ConnectStart::kFailed;
   }
   connecting_ = true;
-  return Register();
+  if (Register()) return ConnectStart::kStarted;
+  fd_.Reset();
+  return ConnectStart::kShortage;
 }
 
 void StreamSocket::OnReady(std::uint32_t events) {
@@ -102,6 +113,9 @@
     NotifyClosed(broken_ || TakeError() != 0 ? StreamEnd::kBroken : StreamEnd::kOrderly);
   } else if (WouldBlock(errno)) {
     readable_ = false;
+  } else if (LacksMemory(errno)) {
+    TryAgain(EPOLLIN);
+    return false;
   } else if (errno != EINTR) {
     readable_ = false;
     NotifyClosed(StreamEnd::kBroken);
@@ -127,6 +141,9 @@
       output_.Consume(static_cast<std::size_t>(count));
     } else if (WouldBlock(errno)) {
       return;  // continued by EPOLLOUT
+    } else if (LacksMemory(errno)) {
+      TryAgain(EPOLLOUT);
+      return;
     } else if (errno != EINTR) {
       OnWriteError();
       return;
@@ -150,17 +167,18 @@
 
 bool StreamSocket::IsStale() {
   char byte = 0;
-  const ssize_t count = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  ssize_t count = 0;
+  do {
+    count = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  } while (count < 0 && errno == EINTR);
   if (count >= 0) return true;
-  if (WouldBlock(errno)) return false;
+  if (WouldBlock(errno) || LacksMemory(errno)) return false;
   broken_ = true;  // the kernel reported the error to this call
   return true;
 }
 
 bool StreamSocket::PeerHasClosed() const {
-  if (!open()) return true;
-  pollfd end{fd_.get(), POLLRDHUP, 0};
-  return ::poll(&end, 1, 0) > 0 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  return !open() || (PollNow(fd_.get(), POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 std::size_t StreamSocket::UnacknowledgedBytes() const {
--- a/src/io/stream_socket.hpp
+++ b/src/io/stream_socket.hpp
@@ -19,6 +19,10 @@
 // (RFC 9112, sections 6.3 and 8).
 enum class StreamEnd { kOrderly, kBroken };
 
+// kShortage: this machine lacks descriptors, memory, ports or a route for now, which says nothing about the
+// peer. kFailed: the peer cannot be reached.
+enum class ConnectStart { kStarted, kShortage, kFailed };
+
 class StreamSocket final : private EventHandler {
  public:
   // Each of these may close the socket, but must free it only through EventLoop::DeferDelete.
@@ -47,10 +51,10 @@
   StreamSocket(const StreamSocket&) = delete;
   StreamSocket& operator=(const StreamSocket&) = delete;
 
-  // Takes ownership of an accepted connection. False: it failed immediately.
-  bool Adopt(FileDescriptor connection);
-  // Starts to connect. False: it failed immediately.
-  bool Connect(const Endpoint& where);
+  // Takes ownership of an accepted connection. False: the machine is short of memory, and the caller keeps
+  // it.
+  bool Adopt(FileDescriptor& connection);
+  ConnectStart Connect(const Endpoint& where);
   bool open() const { return static_cast<bool>(fd_); }
   std::uint16_t local_port() const;  // 0: not open
 
@@ -79,6 +83,8 @@
   // False: nothing more to read for now.
   bool ReadOnce();
   void OnWriteError();
+  // After a read or write that the kernel had no memory for: tries it again in the next round.
+  void TryAgain(std::uint32_t events) { loop_.NotifyAgain(watch_, events); }
   void NotifyClosed(StreamEnd how);
   int TakeError();
   bool Register();
--- a/src/membership/transport/membership_transport.cpp
+++ b/src/membership/transport/membership_transport.cpp
@@ -11,11 +11,14 @@
 #include <system_error>
 #include <utility>
 
+#include "io/transient_error.hpp"
 #include "membership/transport/status_json.hpp"
 
 namespace dappletiller {
 namespace {
 
+constexpr Micros kAcceptRetryDelay = 50'000;  // while the machine has no descriptor or memory
+
 using membership::EventKind;
 using membership::Message;
 using membership::MessageKind;
@@ -94,7 +97,8 @@
       options_(WithAdvertisedAddress(std::move(options), sockets_.port)),
       codec_(options_.name, options_.keys),
       membership_(MakeSettings(options_, name, zone), std::random_device()()),
-      tick_(loop) {
+      tick_(loop),
+      accept_retry_(loop) {
   if (options_.lease_granters.empty()) return;
   const QuotaLeaseOptions leases{options_.lease_granters, options_.lease_duration};
   quota_leases_.emplace(log_, membership_, leases, observer, Now());
@@ -181,14 +185,16 @@
     FileDescriptor connection(
         ::accept4(sockets_.listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!connection) {
-      if (errno == EINTR || errno == ECONNABORTED) continue;
+      if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+      if (ConcernsOneConnection(errno)) continue;
+      accept_retry_.Set(kAcceptRetryDelay, [this] { AcceptStreams(); });
       return;
     }
     // The oldest is closed, so that silent peers cannot use up all connections.
     if (streams_.size() >= kMaxStreams) OnFinished(*streams_.front());
     streams_.push_back(MakeStream());
     StateExchangeStream& stream = *streams_.back();
-    if (!stream.Adopt(std::move(connection))) OnFinished(stream);
+    if (!stream.Adopt(connection)) OnFinished(stream);
   }
 }
 
--- a/src/membership/transport/membership_transport.hpp
+++ b/src/membership/transport/membership_transport.hpp
@@ -108,6 +108,7 @@
   EventLoop::WatchId listener_watch_ = 0;
   Listener listener_{*this};
   Timer tick_;
+  Timer accept_retry_;
   std::vector<std::unique_ptr<StateExchangeStream>> streams_;  // oldest first
   DecodeErrors decode_errors_;
   std::uint64_t last_logged_event_ = 0;
--- a/src/membership/transport/state_exchange_stream.cpp
+++ b/src/membership/transport/state_exchange_stream.cpp
@@ -12,7 +12,7 @@
 bool StateExchangeStream::Connect(const Endpoint& where, const std::string& request) {
   Queue(request);
   request_sent_ = true;
-  return socket_.Connect(where);
+  return socket_.Connect(where) == ConnectStart::kStarted;
 }
 
 void StateExchangeStream::Queue(const std::string& frame) {
--- a/src/membership/transport/state_exchange_stream.hpp
+++ b/src/membership/transport/state_exchange_stream.hpp
@@ -41,7 +41,7 @@
   StateExchangeStream(EventLoop& loop, Owner& owner);
 
   // Takes ownership of an accepted connection. False: it failed immediately.
-  bool Adopt(FileDescriptor connection) { return socket_.Adopt(std::move(connection)); }
+  bool Adopt(FileDescriptor& connection) { return socket_.Adopt(connection); }
   // Connects and sends `request`. False: it failed immediately.
   bool Connect(const Endpoint& where, const std::string& request);
   void Close() { socket_.Close(); }
--- a/src/rig/links.cpp
+++ b/src/rig/links.cpp
@@ -121,7 +121,7 @@
         back_(*this, {pair_.second, pair_.first}) {}
   ~Stream() { links_.senders_.Forget(way_, id_); }
 
-  bool Begin(FileDescriptor fd) { return there_.socket.Adopt(std::move(fd)); }
+  bool Begin(FileDescriptor fd) { return there_.socket.Adopt(fd); }
 
   // Goes on with whatever waited for a cut to end.
   void Wake() {
@@ -201,7 +201,7 @@
   void Dial() {
     const Endpoint& real = links_.real_[pair_.second];
     dialled_ = true;
-    if (real.port == 0 || !back_.socket.Connect(real)) return End();
+    if (real.port == 0 || back_.socket.Connect(real) != ConnectStart::kStarted) return End();
     way_ = {real.port, back_.socket.local_port()};
     links_.senders_.Say(way_, id_, pair_.first);
   }
--- a/src/rig/standins.cpp
+++ b/src/rig/standins.cpp
@@ -97,7 +97,7 @@
     conn->from = ntohs(from.sin_port);
     Conn& begun = *conn;
     conns_[id] = std::move(conn);
-    if (!begun.socket.Adopt(std::move(fd))) Drop(id);
+    if (!begun.socket.Adopt(fd)) Drop(id);
   }
 }
 
@@ -378,7 +378,7 @@
   Call& begun = *call;
   calls_[id] = std::move(call);
   begun.timer.Set(kPatience, [this, id] { End(id, Fared::kLost); });
-  if (!begun.socket.Connect(where_)) return End(id, Fared::kUnreachable);
+  if (begun.socket.Connect(where_) != ConnectStart::kStarted) return End(id, Fared::kUnreachable);
   begun.socket.output().AppendOwned(text + "\r\n");
 }
 
@@ -425,7 +425,7 @@
   std::uint64_t id = ++ids_;
   Question& question = *(open_[id] = std::make_unique<Question>(*this, id, std::move(done)));
   question.timer.Set(patience, [this, id] { End(id, 0, {}); });
-  if (!question.socket.Connect(where)) return End(id, 0, {});
+  if (question.socket.Connect(where) != ConnectStart::kStarted) return End(id, 0, {});
   question.socket.output().AppendOwned(method + " " + target +
                                        " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
 }
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -16,6 +16,8 @@
 constexpr int kIdleTimeoutNumerator = 3;
 constexpr int kIdleTimeoutDenominator = 5;
 
+constexpr Micros kRedialDelay = 5'000;  // while the machine is short of descriptors, memory or ports
+
 constexpr Micros kDecayInterval = 10'000'000;
 constexpr int kMaxIdleInspected = 8;  // idle connections inspected for one attempt
 // A server that has sent more than one response to a request may do so again, some milliseconds later. For a
@@ -199,21 +201,31 @@
       return dispatcher_.OnAttemptEnded(attempt.key, AttemptOutcome::kNotSent, nullptr);
     }
     connection = std::make_unique<Connection>(*this, attempt.server, it->second.endpoint);
-    if (!connection->socket.Connect(it->second.endpoint)) {
-      return dispatcher_.OnAttemptEnded(attempt.key, AttemptOutcome::kUnreachable, nullptr);
-    }
     ++count_;
-    ++dispatcher_.counters().connections_opened;
     descriptors_.Acquire();
-    Connection* connecting = connection.get();
-    connection->timer.Set(limits_.connect_timeout, [this, connecting] {
-      connecting->socket.Close();
-      Finish(*connecting, AttemptOutcome::kUnreachable, nullptr);
-    });
   }
   Connection& started = *connection;
   busy_[attempt.key] = std::move(connection);
   started.Send(attempt);
+  if (!started.connected) Dial(started, loop_.Now() + limits_.connect_timeout);
+}
+
+// A shortage of this machine is not held against the server: the dial is repeated while it lasts.
+void UpstreamPool::Dial(Connection& connection, Micros connect_by) {
+  const ConnectStart start = connection.socket.Connect(connection.endpoint);
+  if (start == ConnectStart::kFailed) return Finish(connection, AttemptOutcome::kUnreachable, nullptr);
+  const Micros remaining = connect_by - loop_.Now();
+  if (start == ConnectStart::kStarted) {
+    ++dispatcher_.counters().connections_opened;
+    connection.timer.Set(remaining, [this, &connection] {
+      connection.socket.Close();
+      Finish(connection, AttemptOutcome::kUnreachable, nullptr);
+    });
+    return;
+  }
+  ++dispatcher_.counters().dials_postponed;
+  if (remaining <= 0) return Finish(connection, AttemptOutcome::kNotSent, nullptr);
+  connection.timer.Set(kRedialDelay, [this, &connection, connect_by] { Dial(connection, connect_by); });
 }
 
 // Returns the open idle connection whose idle time has the lowest failure rate, the most recently used among
--- a/src/upstream/upstream_pool.hpp
+++ b/src/upstream/upstream_pool.hpp
@@ -55,6 +55,7 @@
   void DecayStatistics();
 
   std::unique_ptr<Connection> TakeIdle(Pool& pool);
+  void Dial(Connection& connection, Micros connect_by);
   bool CloseOneIdle();
   void Finish(Connection& connection, AttemptOutcome end, PayloadRef response);
   void ReturnToPool(std::unique_ptr<Connection> connection);
--- a/tests/net/stream_end_test.cpp
+++ b/tests/net/stream_end_test.cpp
@@ -38,7 +38,8 @@
   explicit AdoptedConnection(Recorder& recorder) : connection(TestConnection::Connect(host.port)) {
     REQUIRE(host.Accept());
     // The stream socket owns the descriptor from here on.
-    REQUIRE(recorder.socket.Adopt(host.connections.back().Release()));
+    FileDescriptor accepted = host.connections.back().Release();
+    REQUIRE(recorder.socket.Adopt(accepted));
   }
   TestServer host;
   TestConnection connection;
