Hold the received data of all clients to a quarter of the memory

Many clients together could pass the memory limit: each may hold 16 KB of head, 64 KB of body and 80 KB of pipelined data, and only bodies beyond 64 KB had a limit. 500 half-written bodies took 40 MB of 48 MB (Release, 544 descriptors). Change: beyond 16 KB of each client, received data is reserved from a quarter of limits.memory_mb; without room a request gets 503 and further pipelined data 413. The buffer of a sized body is allocated once, and the lines of tiny chunks are dropped also when a chunk ends a read.

--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -37,6 +37,8 @@
 constexpr std::size_t kDiscardBufferSize = 64 * 1024;  // maximum read of data that is discarded
 // Maximum pipelined data kept per client: one request of maximum size, or many small ones.
 constexpr std::size_t kMaxPipelinedBytes = http::kMaxHeadSize + http::kMaxBodySize;
+// Received data of each client that needs no share of the request memory: a head of maximum size.
+constexpr std::size_t kUnreservedBytes = http::kMaxHeadSize;
 constexpr int kMaxHintToTimeout = 16;  // hints above this multiple of the class's timeout are ignored
 
 // Headers that may occur only once: proxy and server might interpret repeated ones differently.
@@ -105,6 +107,7 @@
     if (parser_.done() || parser_.bad() || pipeline_overflow_) return BufferPipelined(n);
     bool is_first_byte = !parser_.begun();
     parser_.Commit(n);
+    if (!ReserveMemory(held_bytes_ + parser_.buffered())) return OnMemoryExhausted();
     Micros now = listener_.loop_.Now();
     if (state_ != State::kReading) return received_.Add(n, parser_.buffered(), now);
     received_.Restart(parser_.buffered(), now);
@@ -126,6 +129,7 @@
       return;
     }
     state_ = State::kReading;
+    ShrinkReservation();
     StartReceiveTimeout();
     ProcessInput();
     socket.ResumeReading();
@@ -171,12 +175,38 @@
   // the data is discarded and answered with an error in its turn.
   void BufferPipelined(std::size_t n) {
     if (parser_.bad() || pipeline_overflow_) return;
-    pipeline_overflow_ = parser_.buffered() + n > kMaxPipelinedBytes;
+    const std::size_t buffered = parser_.buffered() + n;
+    pipeline_overflow_ = buffered > kMaxPipelinedBytes || !ReserveMemory(held_bytes_ + buffered);
     if (pipeline_overflow_) return;
     parser_.Feed({listener_.discard_buffer_.data(), n});
     received_.Add(n, parser_.buffered(), listener_.loop_.Now());
   }
 
+  // Reserves memory for `bytes` received bytes of this client; false: none is left.
+  bool ReserveMemory(std::size_t bytes) {
+    if (listener_.options_.request_memory == nullptr || bytes <= kUnreservedBytes) return true;
+    if (!reservation_.shares()) reservation_ = BodyMemory::Share(listener_.options_.request_memory);
+    // What a long body has beyond that is reserved by the parser.
+    return reservation_.GrowTo(std::min(bytes, kMaxPipelinedBytes) - kUnreservedBytes);
+  }
+
+  // After a response: its request is no longer held, only what was received behind it.
+  void ShrinkReservation() {
+    held_bytes_ = 0;
+    reservation_ = BodyMemory::Share();
+    ReserveMemory(parser_.buffered());
+  }
+
+  void OnMemoryExhausted() {
+    if (state_ != State::kReading) {
+      pipeline_overflow_ = true;
+      return;
+    }
+    parser_ = http::Parser(http::Parser::Kind::kRequest, http::kMaxBodySize, listener_.options_.long_bodies);
+    reservation_ = BodyMemory::Share();
+    Reject(503, "no memory for a request is left now");
+  }
+
   // A response may be written at once, and then the next request is processed: in this loop, since a client
   // can pipeline thousands.
   void ProcessInput() {
@@ -204,6 +234,7 @@
     if (!parser_.done() || !socket.open()) return false;
     std::size_t buffered = parser_.buffered();
     http::MessageRef request = parser_.TakeMessage();
+    held_bytes_ = buffered - parser_.buffered();
     last_byte_at_ = received_.Take(buffered - parser_.buffered());
     keep_alive_ = request->keep_alive();
     awaiting_first_request_ = false;
@@ -329,6 +360,8 @@
   Micros connected_at_;
   ReceiveTimes received_;
   Micros last_byte_at_ = 0;             // of the request taken last
+  std::size_t held_bytes_ = 0;          // size of that request, until its response is sent
+  BodyMemory::Share reservation_;       // for what is received and held beyond kUnreservedBytes
   bool awaiting_first_request_ = true;  // no complete request yet
   bool keep_alive_ = true;
   bool processing_ = false;         // within ProcessInput
--- a/src/downstream/listener.hpp
+++ b/src/downstream/listener.hpp
@@ -38,6 +38,9 @@
   Micros linger_timeout = 1'000'000;
   // Memory for requests with long bodies; null: bodies of up to http::kMaxBodySize only.
   std::shared_ptr<BodyMemory> long_bodies = nullptr;
+  // Memory for the received data of all clients, without a first part of each that is always granted; null:
+  // no limit.
+  std::shared_ptr<BodyMemory> request_memory = nullptr;
 };
 
 class DownstreamListener final : private EventHandler {
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -273,6 +273,7 @@
     state_ = State::kChunkSize;
   } else if (framing.length) {
     remaining_ = static_cast<std::size_t>(*framing.length);
+    message.bytes_.reserve(next_ + remaining_);  // instead of growing to up to twice the size
     state_ = State::kSizedBody;
   } else if (kind_ == Kind::kResponse) {
     message.keep_alive_ = false;
@@ -310,7 +311,10 @@
   body_end_ += count;
   if (until_end) return false;
   remaining_ -= count;
-  if (remaining_ > 0) return false;
+  if (remaining_ > 0) {
+    DropChunkLines();
+    return false;
+  }
   if (state_ == State::kSizedBody) return Finish();
   state_ = State::kChunkEnd;
   return true;
--- a/src/proxy/options.cpp
+++ b/src/proxy/options.cpp
@@ -13,6 +13,8 @@
 // Long bodies may use one in this many bytes of the process's memory. A growing buffer may be up to twice as
 // large as its contents.
 constexpr std::size_t kLongBodiesDivisor = 8;
+// Received requests may use one in this many bytes, besides the first part of each.
+constexpr std::size_t kRequestMemoryDivisor = 4;
 
 }  // namespace
 
@@ -21,9 +23,12 @@
 std::size_t ClientConnectionSlots(const Config& config) { return config.sockets / kSlotsDivisor; }
 std::size_t LongBodyMemory(const Config& config) { return config.memory / kLongBodiesDivisor; }
 
+std::size_t RequestMemory(const Config& config) { return config.memory / kRequestMemoryDivisor; }
+
 ListenerOptions MakeListenerOptions(const Config& config, std::shared_ptr<BodyMemory> long_bodies) {
   ListenerOptions options;
   options.long_bodies = std::move(long_bodies);
+  if (config.memory > 0) options.request_memory = std::make_shared<BodyMemory>(RequestMemory(config));
   options.listen = config.listen;
   options.connection_slots = ClientConnectionSlots(config);
   options.classes = config.classes;
--- a/src/proxy/options.hpp
+++ b/src/proxy/options.hpp
@@ -22,6 +22,7 @@
 std::size_t ClientConnectionSlots(const Config& config);
 // Memory for long bodies beyond the usual size, in bytes.
 std::size_t LongBodyMemory(const Config& config);
+std::size_t RequestMemory(const Config& config);
 
 ListenerOptions MakeListenerOptions(const Config& config, std::shared_ptr<BodyMemory> long_bodies);
 UpstreamLimits MakeUpstreamLimits(const Config& config);
