Bound a server's start time by what the proxy has seen itself

A wall clock that is stepped made a cold server look warm, or a warm one cold for an hour: slow start compared the listed start time, read from a stepped clock, with this process's own. Found by looking for times that are not spans of real time. Change: a start time that is listed anew lies between the last answer of discovery that lacked it (less the 6 s that a list may be late) and now. The first list of a process is trusted, but for times ahead of its clock. Not tested end to end.

--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -255,13 +255,14 @@
   bool has_list = list.kind == EndpointList::Kind::kSnapshot || list.kind == EndpointList::Kind::kDelta;
   // An empty delta is not passed on, since the module would update all servers each second. The first
   // response is always passed on: it tells the module that the watch is established.
+  const Micros previous_list_at = last_list_at_;
   bool has_changes = last_list_at_ == 0 || list.kind != EndpointList::Kind::kDelta || !list.entries.empty();
   if (has_list) last_list_at_ = loop_.Now();
-  if (has_changes) ApplyEndpoints(list);
+  if (has_changes) ApplyEndpoints(list, previous_list_at);
 }
 
 bool RequestDispatcher::Drain(const std::string& uid) {
-  if (ever_listed_.count(uid) == 0) return false;
+  if (!start_times_.Contains(uid)) return false;
   if (drains_.Drain(uid)) {
     log_.Info("server %s drained by the operators; it gets no requests until it is undrained", uid.c_str());
     ReapplyEndpoint(uid);
@@ -270,7 +271,7 @@
 }
 
 bool RequestDispatcher::Undrain(const std::string& uid) {
-  if (ever_listed_.count(uid) == 0) return false;
+  if (!start_times_.Contains(uid)) return false;
   if (drains_.Undrain(uid, ToTimePoint(loop_.Now()))) {
     log_.Info("server %s undrained by the operators; slow start begins now", uid.c_str());
     ReapplyEndpoint(uid);
@@ -285,10 +286,10 @@
   EndpointList update;
   update.kind = EndpointList::Kind::kDelta;
   update.entries.push_back(it->second.listed);
-  ApplyEndpoints(update);
+  ApplyEndpoints(update, last_list_at_);
 }
 
-void RequestDispatcher::ApplyEndpoints(const EndpointList& list) {
+void RequestDispatcher::ApplyEndpoints(const EndpointList& list, Micros previous_list_at) {
   balancer::EndpointListUpdate event;
   event.kind = Translate(list.kind);
   std::set<std::string> listed_uids;
@@ -298,8 +299,8 @@
     KnownServer& known = it->second;
     if (inserted) known.id = ++last_server_id_;
     known.listed = listed;
-    ever_listed_.insert(listed.uid);
     EndpointEntry entry = listed;
+    entry.boot_unix = start_times_.Update(listed.uid, listed.boot_unix, loop_.Now(), previous_list_at);
     if (entry.state != EndpointState::kRemoved && drains_.IsDrained(entry.uid))
       entry.state = EndpointState::kDraining;
     entry.boot_unix = ToMicros(drains_.EffectiveStart(entry.uid, ToTimePoint(entry.boot_unix)));
--- a/src/dispatch/request_dispatcher.hpp
+++ b/src/dispatch/request_dispatcher.hpp
@@ -18,6 +18,7 @@
 #include "base/payload.hpp"
 #include "dappletiller/balancer.hpp"
 #include "dispatch/counters.hpp"
+#include "dispatch/server_start_times.hpp"
 #include "dispatch/types.hpp"
 #include "drain/administrative_drains.hpp"
 #include "io/event_loop.hpp"
@@ -92,7 +93,8 @@
   };
 
   void Deliver(balancer::Event event);
-  void ApplyEndpoints(const EndpointList& list);
+  // `previous_list_at`: when discovery last answered before this list; 0: never.
+  void ApplyEndpoints(const EndpointList& list, Micros previous_list_at);
   void ReapplyEndpoint(const std::string& uid);
   void Execute(const balancer::Send& action);
   void Execute(const balancer::Reject& action);
@@ -125,8 +127,8 @@
   TrafficCounters counters_;
   Timer log_counters_;
   drain::AdministrativeDrains drains_;
-  std::set<std::string> ever_listed_;  // grows with the number of uids that discovery has ever listed
-  Micros last_list_at_ = 0;            // time of discovery's last response; 0: none yet
+  ServerStartTimes start_times_;
+  Micros last_list_at_ = 0;  // time of discovery's last response; 0: none yet
 };
 
 }  // namespace dappletiller
