Log why clients are closed, what is postponed, and memory against its limit

The log of the incident could not name its cause: it told no memory, no reason of a close, and its counters were missing for 17 s, since bad clients' lines used up the rate limit that 'passed:' shares.

--- a/src/dispatch/counters.hpp
+++ b/src/dispatch/counters.hpp
@@ -4,9 +4,22 @@
 #define DAPPLETILLER_DISPATCH_COUNTERS_HPP_
 
 #include <array>
+#include <numeric>
 
 namespace dappletiller {
 
+// Why the proxy closed a client's connection.
+enum class ClientClose {
+  kIdle,         // no request for the idle time
+  kEarly,        // idle, and its descriptor or slot was needed
+  kLateRequest,  // a request was not complete in time
+  kNotReading,   // it took no bytes of its response for too long
+  kMalformed,    // its request was malformed, contradictory or too large
+  kPipelined,    // it sent more ahead of a response than is kept
+  kNoMemory,     // there was no memory for its request
+  kCount
+};
+
 struct TrafficCounters {
   int arrived = 0;
   int served = 0;
@@ -18,12 +31,21 @@
   int dials_postponed = 0;     // since this machine was short of descriptors, memory, ports or a route
   int discovery_requests = 0;
   int discovery_failures = 0;
+  int retries = 0;
+  int rejected_after_attempt = 0;  // of `rejected`
+  int accepts_postponed = 0;       // since this machine was short of descriptors or memory
+  std::array<int, static_cast<std::size_t>(ClientClose::kCount)> clients_closed{};  // indexed by ClientClose
   std::array<int, 8> attempts_by_outcome{};  // indexed by AttemptOutcome
 
   bool empty() const {
     return arrived + served + rejected + failed + client_disconnected + attempts_sent + discovery_requests ==
            0;
   }
+  // Whether the line of details has anything to tell.
+  bool has_details() const {
+    const int closed = std::accumulate(clients_closed.begin(), clients_closed.end(), 0);
+    return retries + rejected + dials_postponed + accepts_postponed + closed > 0;
+  }
 };
 
 }  // namespace dappletiller
--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -79,6 +79,7 @@
 
 void RequestDispatcher::LogCounters() {
   const TrafficCounters t = std::exchange(counters_, {});
+  if (t.has_details()) LogDetails(t);
   if (t.empty()) return;
   std::string last_answer = "never answered";
   if (last_list_at_ != 0) {
@@ -88,7 +89,8 @@
     last_answer = text;
   }
   auto ended = [&t](AttemptOutcome end) { return t.attempts_by_outcome[static_cast<std::size_t>(end)]; };
-  log_.Info(
+  // Not rate-limited: it is needed most when faults fill the log.
+  log_.Important(
       "passed: %d in, %d served, %d refused, %d failed, %d left, %zu open; sent %d, dialled %d; ended %d ok, "
       "%d error, %d turned away, %d timed out, %d unreachable, %d reset, %d given up, %d not sent; list "
       "calls %d, failed %d, %s",
@@ -100,6 +102,19 @@
   log_counters_.Set(kCounterLogInterval, [this] { LogCounters(); });
 }
 
+void RequestDispatcher::LogDetails(const TrafficCounters& t) {
+  auto closed = [&t](ClientClose why) { return t.clients_closed[static_cast<std::size_t>(why)]; };
+  log_.Important(
+      "details: %d retries; rejected %d without and %d after an attempt; clients closed: %d idle, %d early, "
+      "%d late "
+      "request, %d not reading, %d malformed, %d too much pipelined, %d no memory; postponed: %d dials, %d "
+      "accepts",
+      t.retries, t.rejected - t.rejected_after_attempt, t.rejected_after_attempt, closed(ClientClose::kIdle),
+      closed(ClientClose::kEarly), closed(ClientClose::kLateRequest), closed(ClientClose::kNotReading),
+      closed(ClientClose::kMalformed), closed(ClientClose::kPipelined), closed(ClientClose::kNoMemory),
+      t.dials_postponed, t.accepts_postponed);
+}
+
 // Executing an action may cause the next event immediately, such as a refused connection. That event is
 // queued until the current actions are executed: the module is not reentrant, and the order of actions
 // matters.
@@ -353,6 +368,7 @@
   SentAttempt& sent = request.attempts.emplace_back();
   ++request.attempts_in_flight;
   ++counters().attempts_sent;
+  if (key.number > 0) ++counters().retries;
   sent.sent_at = loop_.Now();
   if (request.sink == nullptr) return OnAttemptEnded(key, AttemptOutcome::kNotSent, nullptr);
   if (action.timeout <= 0) return OnAttemptEnded(key, AttemptOutcome::kTimedOut, nullptr);
@@ -370,9 +386,12 @@
 }
 
 void RequestDispatcher::Execute(const balancer::Reject& action) {
+  auto it = requests_.find(action.id);
+  const bool has_attempts = it != requests_.end() && !it->second.attempts.empty();
   ResponseSink* sink = CloseRequest(action.id);
   if (sink != nullptr) {
     ++counters().rejected;
+    if (has_attempts) ++counters().rejected_after_attempt;
     sink->OnRejected(action.retry_after);
   }
   EraseIfFinished(action.id);
--- a/src/dispatch/request_dispatcher.hpp
+++ b/src/dispatch/request_dispatcher.hpp
@@ -109,6 +109,7 @@
   void RevokeUnsentAttempt(AttemptKey key);
   void EraseIfFinished(RequestId id);
   void LogCounters();
+  void LogDetails(const TrafficCounters& counters);
 
   EventLoop& loop_;
   Log& log_;
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -66,7 +66,8 @@
     if (parser_.begun()) {
       Micros remaining =
           awaiting_first_request_ ? connected_at_ + kReceiveTimeout - listener_.loop_.Now() : kReceiveTimeout;
-      timer_.Set(remaining, [this] { Reject(408, "the request took too long to arrive"); });
+      timer_.Set(remaining,
+                 [this] { Reject(408, "the request took too long to arrive", ClientClose::kLateRequest); });
     } else {
       CloseUnlessProgress(kIdleTimeout);
     }
@@ -204,7 +205,7 @@
     }
     parser_ = http::Parser(http::Parser::Kind::kRequest, http::kMaxBodySize, listener_.options_.long_bodies);
     reservation_ = BodyMemory::Share();
-    Reject(503, "no memory for a request is left now");
+    Reject(503, "no memory for a request is left now", ClientClose::kNoMemory);
   }
 
   // A response may be written at once, and then the next request is processed: in this loop, since a client
@@ -221,8 +222,10 @@
   bool ProcessNextRequest() {
     if (parser_.bad()) {
       bool out_of_memory = parser_.error_status() == 503;
-      Reject(parser_.error_status(), out_of_memory ? "no memory for a long body is left now"
-                                                   : "the request is malformed or too large");
+      Reject(
+          parser_.error_status(),
+          out_of_memory ? "no memory for a long body is left now" : "the request is malformed or too large",
+          out_of_memory ? ClientClose::kNoMemory : ClientClose::kMalformed);
       return false;
     }
     if (parser_.wants_continue()) {
@@ -230,7 +233,8 @@
       socket.output().Append("HTTP/1.1 100 Continue\r\n\r\n");
       socket.Flush();
     }
-    if (!parser_.done() && pipeline_overflow_) Reject(413, "too much data was sent before the response");
+    if (!parser_.done() && pipeline_overflow_)
+      Reject(413, "too much data was sent before the response", ClientClose::kPipelined);
     if (!parser_.done() || !socket.open()) return false;
     std::size_t buffered = parser_.buffered();
     http::MessageRef request = parser_.TakeMessage();
@@ -333,8 +337,11 @@
     timer_.Set(span, [this, span, before] {
       std::size_t unacknowledged = socket.UnacknowledgedBytes();
       if (unacknowledged > 0 && unacknowledged < before) return CloseUnlessProgress(span);
-      if (state_ == State::kWriting) return listener_.Remove(*this);
-      CloseIfUnused();
+      if (state_ == State::kWriting) {
+        listener_.CountClose(ClientClose::kNotReading);
+        return listener_.Remove(*this);
+      }
+      if (CloseIfUnused()) listener_.CountClose(ClientClose::kIdle);
     });
   }
 
@@ -344,8 +351,9 @@
     StartWriting();
   }
 
-  void Reject(int status, std::string_view text) {
+  void Reject(int status, std::string_view text, ClientClose why = ClientClose::kMalformed) {
     keep_alive_ = false;
+    listener_.CountClose(why);
     listener_.log_.Info("listener: responding with status %d and closing the connection: %.*s", status,
                         static_cast<int>(text.size()), text.data());
     SendStatus(status, text, 0);
@@ -547,10 +555,15 @@
 
 // The listener stays readable, so that waiting for its next event could take for ever.
 void DownstreamListener::RetryAccept() {
+  ++dispatcher_.counters().accepts_postponed;
   log_.Info("listener: accept failed: %s; retrying in 10 ms", std::strerror(errno));
   accept_retry_.Set(kAcceptRetryDelay, [this] { Accept(); });
 }
 
+void DownstreamListener::CountClose(ClientClose why) {
+  ++dispatcher_.counters().clients_closed[static_cast<std::size_t>(why)];
+}
+
 bool DownstreamListener::HasWaitingClients() const {
   return unregistered_ || PollNow(listener_.get(), POLLIN) != 0;
 }
@@ -558,6 +571,7 @@
 bool DownstreamListener::CloseIfUnused(limits::ConnectionAdmission::Id id) {
   if (!connections_.at(id)->CloseIfUnused()) return false;
   ++closed_early_;
+  CountClose(ClientClose::kEarly);
   // Logged, since clients that cannot connect leave no other trace here.
   Micros now = loop_.Now();
   if (reported_at_ != 0 && now < reported_at_ + kReportInterval) return true;
--- a/src/downstream/listener.hpp
+++ b/src/downstream/listener.hpp
@@ -73,6 +73,10 @@
   void Close();
   bool closed() const { return closed_; }
   std::size_t connections() const { return connections_.size(); }
+  // Bytes reserved for received requests, beyond the part of each that is always granted.
+  std::size_t request_memory() const {
+    return options_.request_memory == nullptr ? 0 : options_.request_memory->taken();
+  }
   // Sets the number of connection slots; excess connections are closed when they become idle.
   void SetConnectionSlots(std::size_t slots) { admission_.Resize(slots); }
   // Updates the classes after a reload: new names are added, known ones get their new timeout, and one with a
@@ -93,6 +97,7 @@
   void OnReady(std::uint32_t events) override;
   void Accept();
   void RetryAccept();
+  void CountClose(ClientClose why);
   bool HasWaitingClients() const;
   bool CloseIfUnused(limits::ConnectionAdmission::Id id);
   void CloseExcessIdle();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -20,6 +20,7 @@
 #include "proxy/environment.hpp"
 #include "proxy/graceful_shutdown.hpp"
 #include "proxy/reload.hpp"
+#include "proxy/resource_log.hpp"
 
 namespace dappletiller {
 namespace {
@@ -38,7 +39,8 @@
         commands_(components_, drain_state_),
         console_(components_.loop, log, commands_),
         shutdown_(components_, drain_state_),
-        reload_retry_(components_.loop) {}
+        reload_retry_(components_.loop),
+        resource_log_(components_) {}
 
   // Throws std::system_error, ConfigError or another exception if the proxy cannot serve.
   void Start() {
@@ -57,6 +59,7 @@
   }
 
   void Run() {
+    resource_log_.Start();
     components_.loop.Run();
     components_.log.Important("stopped");
   }
@@ -100,6 +103,7 @@
   Console console_;
   GracefulShutdown shutdown_;
   Timer reload_retry_;
+  ResourceLog resource_log_;
   Micros reload_until_ = 0;  // time of the last attempt to read the files
 };
 
