Run a request's time from when it may have come, not from when it was read

Change: the event loop tells since when the events at hand may have occurred; the listener takes that for the time of receipt.

--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -109,9 +109,9 @@
     bool is_first_byte = !parser_.begun();
     parser_.Commit(n);
     if (!ReserveMemory(held_bytes_ + parser_.buffered())) return OnMemoryExhausted();
-    Micros now = listener_.loop_.Now();
-    if (state_ != State::kReading) return received_.Add(n, parser_.buffered(), now);
-    received_.Restart(parser_.buffered(), now);
+    const Micros received_at = listener_.loop_.EventsSince();
+    if (state_ != State::kReading) return received_.Add(n, parser_.buffered(), received_at);
+    received_.Restart(parser_.buffered(), received_at);
     if (is_first_byte) {
       listener_.admission_.OnBytesReceived(id);
       StartReceiveTimeout();
@@ -180,7 +180,7 @@
     pipeline_overflow_ = buffered > kMaxPipelinedBytes || !ReserveMemory(held_bytes_ + buffered);
     if (pipeline_overflow_) return;
     parser_.Feed({listener_.discard_buffer_.data(), n});
-    received_.Add(n, parser_.buffered(), listener_.loop_.Now());
+    received_.Add(n, parser_.buffered(), listener_.loop_.EventsSince());
   }
 
   // Reserves memory for `bytes` received bytes of this client; false: none is left.
--- a/src/io/event_loop.cpp
+++ b/src/io/event_loop.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Micros kMaxSleep = 60'000'000;
+constexpr Micros kShortestWait = 200;  // a system call that takes longer has waited
 constexpr std::size_t kMaxEventsPerRound = 128;
 constexpr int kGenerationShift = 32;
 
@@ -25,6 +26,7 @@
 EventLoop::EventLoop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
   if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
   unix_offset_ = Read<std::chrono::system_clock>() - Read<std::chrono::steady_clock>();
+  last_wait_ended_ = events_since_ = Now();
   slots_.resize(1);  // slot 0 stays unused, so that no WatchId is 0
 }
 
@@ -89,10 +91,21 @@
   return static_cast<int>((std::max<Micros>(wait, 0) + 999) / 1000);
 }
 
-void EventLoop::RunOnce(Micros max_wait) {
-  std::array<epoll_event, kMaxEventsPerRound> events;
+// An event that ends a wait has just occurred; one that is reported without a wait, at any time since the
+// wait before.
+int EventLoop::Wait(Micros max_wait, std::span<epoll_event> events) {
+  const Micros began = Now();
   const int count = ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()),
                                  MillisecondsToWait(max_wait));
+  const Micros ended = Now();
+  events_since_ = ended - began < kShortestWait ? last_wait_ended_ : ended;
+  last_wait_ended_ = ended;
+  return count;
+}
+
+void EventLoop::RunOnce(Micros max_wait) {
+  std::array<epoll_event, kMaxEventsPerRound> events;
+  const int count = Wait(max_wait, events);
   const auto to_notify = std::exchange(to_notify_, {});
   for (int i = 0; i < count; ++i) Deliver(events[i].data.u64, events[i].events);
   for (const auto& [watch, mask] : to_notify) Deliver(watch, mask);
--- a/src/io/event_loop.hpp
+++ b/src/io/event_loop.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,8 @@
 #include "io/bound_socket.hpp"
 #include "io/file_descriptor.hpp"
 
+struct epoll_event;
+
 namespace dappletiller {
 
 class EventHandler {
@@ -36,6 +39,10 @@
   // Monotonic microseconds. The clock starts as Unix time, so it can be compared with Unix times.
   Micros Now() const;
 
+  // The earliest time at which the events that are being delivered may have occurred. Earlier than Now() if
+  // the last round took long: what arrives meanwhile is reported after it.
+  Micros EventsSince() const { return events_since_; }
+
   // Reports readiness in both directions, edge-triggered. 0 if epoll rejects the descriptor. Events already
   // fetched for a WatchId that is no longer watched are dropped, even if the descriptor number is in use
   // again.
@@ -69,8 +76,11 @@
   void Deliver(WatchId watch, std::uint32_t events);
   void RunTimers();
   int MillisecondsToWait(Micros max_wait) const;
+  int Wait(Micros max_wait, std::span<epoll_event> events);
 
   FileDescriptor epoll_;
+  Micros last_wait_ended_ = 0;
+  Micros events_since_ = 0;
   Micros unix_offset_ = 0;   // from the steady clock to Unix time, at startup
   std::vector<Slot> slots_;  // by the lower half of a WatchId; the upper half is the generation
   std::vector<std::uint32_t> free_slots_;
--- a/tests/net/deadline_test.cpp
+++ b/tests/net/deadline_test.cpp
@@ -54,6 +54,31 @@
   fixture.WaitForData(client, "in time");
 }
 
+// The event loop reports a request only after the round in which it arrived.
+TEST_CASE("a proxy that is busy while a request arrives tells its server too much time") {
+  constexpr int kWithin = 5'000;  // milliseconds
+  constexpr Micros kBusy = 300 * kMs;
+  constexpr Micros kSlack = 150 * kMs;
+  ProxyFixture fixture;
+  TestServer server;
+  fixture.SetEndpoints({&server});
+  TestConnection client = fixture.ConnectClient();
+  bool is_new = false;
+  SUBCASE("on an open connection") {
+    fixture.WaitUntil("it is connected", [&] { return fixture.listener.connections() == 1; });
+  }
+  SUBCASE("in the accept queue") { is_new = true; }
+  CAPTURE(is_new);
+  fixture.loop.RunOnce(0);
+  client.Send(SafeRequestWithTimeout("b", kWithin));
+  const Micros sent_at = fixture.loop.Now();
+  WaitWithoutLoop("the proxy is busy", [&] { return fixture.loop.Now() > sent_at + kBusy; });
+  TestConnection& at = fixture.WaitForRequest(server, "b");
+  CHECK(StatedTimeout(at.text) <= kWithin * kMs - kBusy + kSlack);
+  at.Send(Response(200, "done"));
+  fixture.WaitForData(client, "done");
+}
+
 // If the timeout ran from the previous response, a pipelined request would be answered too late.
 TEST_CASE("the timeout of a pipelined request runs while it waits") {
   constexpr int kWithin = 200;  // milliseconds
