Process eight pipelined requests of one client a turn

Forty clients with thousands of pipelined requests kept the event loop for some 0.2 s at a time (soak); everybody else's requests waited. Change: after eight requests of a connection the others have their turn.

--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr int kMaxAcceptsPerRound = 64;
+constexpr int kMaxRequestsPerRound = 8;  // of one client
 constexpr Micros kAcceptRetryDelay = 10'000;
 // Maximum time to receive a request, from its first byte or from connecting. A client that sends no complete
 // request must get an error or a close within 3 s of connecting.
@@ -57,6 +58,7 @@
         listener_(listener),
         parser_(http::Parser::Kind::kRequest, http::kMaxBodySize, listener.options_.long_bodies),
         timer_(listener.loop_),
+        continue_(listener.loop_),
         connected_at_(listener.loop_.Now()) {}
 
   // Starts the timeout for the next request. Only its first byte restarts the timeout, and on a new
@@ -160,6 +162,7 @@
   // Closes the socket; an open request counts as abandoned by its client.
   void Disconnect() {
     timer_.Clear();
+    continue_.Clear();
     socket.Close();
     if (std::exchange(state_, State::kClosing) != State::kWaiting) return;
     ReleaseRequestId();
@@ -209,13 +212,17 @@
   }
 
   // A response may be written at once, and then the next request is processed: in this loop, since a client
-  // can pipeline thousands.
+  // can pipeline thousands. After some of them other clients have their turn.
   void ProcessInput() {
     if (processing_) return;
     processing_ = true;
-    while (socket.open() && state_ == State::kReading && ProcessNextRequest()) {
+    int requests = 0;
+    while (socket.open() && state_ == State::kReading && requests < kMaxRequestsPerRound &&
+           ProcessNextRequest()) {
+      ++requests;
     }
     processing_ = false;
+    if (requests == kMaxRequestsPerRound && parser_.done()) continue_.Set(0, [this] { ProcessInput(); });
   }
 
   // Returns whether a request was taken.
@@ -362,6 +369,7 @@
   DownstreamListener& listener_;
   http::Parser parser_;
   Timer timer_;
+  Timer continue_;  // while more requests are buffered than one round may process
   State state_ = State::kReading;
   RequestId dispatched_id_ = 0;
   std::string request_id_;  // of the open request
