Try the start of a config server again as well

The decision is now in one place, io/start_retry, for both programs. Evidence: the tests of the proxy's start; the feed's process tests. There is no test of its own that lets a call of the config server fail.

--- a/src/control_server/control_server.cpp
+++ b/src/control_server/control_server.cpp
@@ -5,8 +5,10 @@
 
 #include <csignal>
 #include <exception>
+#include <memory>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include "config/operator_file.hpp"
@@ -18,6 +20,7 @@
 #include "io/event_loop.hpp"
 #include "io/log.hpp"
 #include "io/signals.hpp"
+#include "io/start_retry.hpp"
 
 namespace dappletiller {
 namespace {
@@ -54,13 +57,17 @@
                     });
   }
 
-  void Run() {
+  // Throws std::system_error.
+  void Start() {
     signals_.Start();
     feed_server_.Listen(options_.bind);
     log_.Important("control on port %u as %s%s", feed_server_.port(), options_.name.c_str(),
                    origin_ ? (", origin of " + origin_->path()).c_str() : "");
     feed_client_.Start();
     if (origin_) origin_->Read();
+  }
+
+  void Run() {
     loop_.Run();
     log_.Important("stopped");
   }
@@ -106,6 +113,22 @@
   return file;
 }
 
+std::unique_ptr<ControlServer> StartControlServer(Log& log, const std::string& operator_path) {
+  for (StartRetry retry(log);;) {
+    try {
+      const operators::OperatorFile file = LoadFile(operator_path);
+      log.Configure(file.log_json ? Log::Format::kJson : Log::Format::kText, Log::ParseLevel(file.log_level));
+      RaiseDescriptorLimit();
+      auto server = std::make_unique<ControlServer>(log, *file.control);
+      server->Start();
+      retry.OnStarted();
+      return server;
+    } catch (const std::system_error& error) {
+      if (!retry.MayTryAgain(error)) throw;
+    }
+  }
+}
+
 }  // namespace
 
 int RunControlServer(const std::string& operator_path) {
@@ -113,11 +136,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   SignalWatcher::Block();
   try {
-    const operators::OperatorFile file = LoadFile(operator_path);
-    log.Configure(file.log_json ? Log::Format::kJson : Log::Format::kText, Log::ParseLevel(file.log_level));
-    RaiseDescriptorLimit();
-    ControlServer server(log, *file.control);
-    server.Run();
+    StartControlServer(log, operator_path)->Run();
     return kExitOk;
   } catch (const operators::OperatorError& error) {
     log.Info("cannot start: %s", error.what());
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,19 +1,16 @@
 #include "proxy/proxy.hpp"
 
-#include <cerrno>
-#include <chrono>
 #include <csignal>
 #include <exception>
 #include <memory>
 #include <string>
 #include <system_error>
-#include <thread>
 #include <utility>
 
 #include "admin/console.hpp"
 #include "io/log.hpp"
 #include "io/signals.hpp"
-#include "io/transient_error.hpp"
+#include "io/start_retry.hpp"
 #include "proxy/components.hpp"
 #include "proxy/console_commands.hpp"
 #include "proxy/drain_state_storage.hpp"
@@ -25,9 +22,7 @@
 namespace dappletiller {
 namespace {
 
-constexpr Micros kRetryDelay = 20'000;  // after a system call that failed for now
-constexpr Micros kMaxStartTime = 20'000'000;
-constexpr Micros kMaxAddressWait = 3'000'000;
+constexpr Micros kReloadRetryDelay = 20'000;  // while a file cannot be read
 constexpr Micros kMaxReloadTime = 3'000'000;
 
 class Proxy final : private SignalHandler {
@@ -86,7 +81,7 @@
       const bool again = components_.loop.Now() < reload_until_;
       components_.log.Important("reload: %s; %s", error.what(),
                                 again ? "trying again" : "the old configuration stays");
-      if (again) reload_retry_.Set(kRetryDelay, [this] { TryReload(); });
+      if (again) reload_retry_.Set(kReloadRetryDelay, [this] { TryReload(); });
     }
   }
 
@@ -107,31 +102,16 @@
   Micros reload_until_ = 0;  // time of the last attempt to read the files
 };
 
-// A predecessor that was killed may still hold the address; anything else may take longer to pass.
-bool MayPass(const std::system_error& error, Micros elapsed) {
-  if (error.code().value() == EADDRINUSE) return elapsed < kMaxAddressWait;
-  return IsShortage(error.code().value()) && elapsed < kMaxStartTime;
-}
-
-// A system call may fail for a moment, above all when many processes restart together.
 std::unique_ptr<Proxy> StartProxy(Log& log, const std::string& operator_path) {
-  Micros elapsed = 0;
-  std::string last_failure;
-  for (;;) {
+  for (StartRetry retry(log);;) {
     try {
       auto proxy = std::make_unique<Proxy>(log, LoadConfig(), operator_path);
       proxy->Start();
-      if (!last_failure.empty()) {
-        log.Important("start: succeeded after %.2f s of failures; the last: %s",
-                      static_cast<double>(elapsed) / 1e6, last_failure.c_str());
-      }
+      retry.OnStarted();
       return proxy;
     } catch (const std::system_error& error) {
-      if (!MayPass(error, elapsed)) throw;
-      last_failure = error.what();
+      if (!retry.MayTryAgain(error)) throw;
     }
-    std::this_thread::sleep_for(std::chrono::microseconds(kRetryDelay));
-    elapsed += kRetryDelay;
   }
 }
 
