--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -111,7 +111,7 @@
     bool is_first_byte = !parser_.begun();
     parser_.Commit(n);
     if (!ReserveMemory(held_bytes_ + parser_.buffered())) return OnMemoryExhausted();
-    const Micros received_at = listener_.loop_.EventsSince();
+    const Micros received_at = ReceivedAt();
     if (state_ != State::kReading) return received_.Add(n, parser_.buffered(), received_at);
     received_.Restart(parser_.buffered(), received_at);
     if (is_first_byte) {
@@ -186,6 +186,12 @@
     received_.Add(n, parser_.buffered(), listener_.loop_.EventsSince());
   }
 
+  // When the data at hand was received, at the latest: it may have waited in the accept queue, or while this
+  // process was busy or not scheduled.
+  Micros ReceivedAt() const {
+    return std::min(listener_.loop_.EventsSince(), listener_.loop_.Now() - socket.TimeSinceLastData());
+  }
+
   // Reserves memory for `bytes` received bytes of this client; false: none is left.
   bool ReserveMemory(std::size_t bytes) {
     if (listener_.options_.request_memory == nullptr || bytes <= kUnreservedBytes) return true;
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -187,6 +187,14 @@
   return output_.size() + static_cast<std::size_t>(in_kernel);
 }
 
+Micros StreamSocket::TimeSinceLastData() const {
+  constexpr Micros kMicrosPerMilli = 1000;
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (!open() || ::getsockopt(fd_.get(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+  return info.tcpi_last_data_recv * kMicrosPerMilli;
+}
+
 int StreamSocket::TakeError() {
   int error = 0;
   socklen_t size = sizeof error;
--- a/src/io/stream_socket.hpp
+++ b/src/io/stream_socket.hpp
@@ -72,6 +72,9 @@
   // some are unacknowledged was sent before.
   std::size_t UnacknowledgedBytes() const;
 
+  // How long ago the kernel received the last data, in steps of some milliseconds; 0: not known.
+  Micros TimeSinceLastData() const;
+
   void ShutdownWrite();  // half-close
   void Close();
   void Abort();  // closes with a reset instead of an orderly end
