--- a/src/io/transient_error.cpp
+++ b/src/io/transient_error.cpp
@@ -14,8 +14,8 @@
                                          ENOPROTOOPT, EHOSTDOWN,    ENONET,    EHOSTUNREACH,
                                          EOPNOTSUPP,  ENETUNREACH,  ETIMEDOUT, ECONNRESET};
 
-template <std::size_t kSize>
-bool Contains(const std::array<int, kSize>& errors, int error) {
+template <std::size_t Size>
+bool Contains(const std::array<int, Size>& errors, int error) {
   return std::find(errors.begin(), errors.end(), error) != errors.end();
 }
 
