--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,19 +21,21 @@
 SLOW = 2.0  # seconds that a plan server takes to write an answer
 JUMP_RATE = 2000  # requests a second while traffic jumps, until all clients are busy
 WARM_UP = 3  # seconds of light traffic before
-WARM_RATE = 60
+WARM_RATE = 900  # requests a second, the usual traffic before the jump
+WARM_CLIENTS = 30
 
 
 class SlowServer(s.PlanServer):
-    """Answers with 64 KiB; once `slow`, it writes most of an answer at once and the rest after two seconds."""
+    """Answers with `size` bytes; once `slow`, it writes most of an answer at once and the rest after two seconds."""
     slow = False
+    size = 500
 
     async def answer(self, attempt, writer):
         self.attempts.append(attempt)
         self.record(f"server {self.uid}: request {attempt.ident} arrived")
         await asyncio.sleep(self.work)
         attempt.outcome = "200"
-        body = attempt.ident.encode().ljust(LONGEST_BODY, b".")
+        body = attempt.ident.encode().ljust(self.size, b".")
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:-100])
         if self.slow:
             await asyncio.sleep(SLOW)
@@ -112,18 +114,25 @@
             await asyncio.sleep(0.005)
 
     watch = asyncio.create_task(watch_memory())
-    warm = [Client(record, port, 10_000 + i) for i in range(10)]
-    for client in warm:
+    warm = [Client(record, port, 10_000 + i) for i in range(WARM_CLIENTS)]
+    usual_from = s.now()
+
+    async def usual(client):
         await client.connect()
-    end = s.now() + WARM_UP
-    while s.now() < end:
-        await asyncio.gather(*[client.call(500) for client in warm])
-        await asyncio.sleep(len(warm) / WARM_RATE)
+        while s.now() < usual_from + WARM_UP:
+            began = s.now()
+            if await client.call(500) != 200:
+                await client.connect()
+            await asyncio.sleep(max(0, began + WARM_CLIENTS / WARM_RATE - s.now()))
+
+    await asyncio.gather(*[usual(client) for client in warm])
+    usual_rate = sum(client.count for client in warm) / WARM_UP
     clients = [Client(record, port, i) for i in range(CLIENTS - len(warm))]
     for client in clients:
         await client.connect()
     for server in servers:
         server.slow = s.TROUBLE
+        server.size = LONGEST_BODY
     before = peak
     record(f"{len(clients)} clients send one request each, {JUMP_RATE} a second; until now at most {before:.1f} MB")
     # Half of the bodies have the longest size that the protocol page allows.
@@ -144,6 +153,7 @@
         for outcome in client.outcomes:
             outcomes[outcome] = outcomes.get(outcome, 0) + 1
     return killed, [
+        f"usual traffic {usual_rate:.0f} requests a second, then {JUMP_RATE}: {JUMP_RATE / usual_rate:.1f} times",
         f"memory of the process: at most {before:.1f} MB before, {peak:.1f} MB after, {MEMORY_MB} MB allowed",
         f"{len(clients)} requests ended with {outcomes}"]
 
