--- a/include/dappletiller/balancer.hpp
+++ b/include/dappletiller/balancer.hpp
@@ -58,6 +58,8 @@
 struct TenantSettings {
   double service_share = 0;  // the tenant's fraction of the service, 0 to 1
   double quota_per_s = 0;    // requests per second within its quota, over all proxies
+
+  bool operator==(const TenantSettings&) const = default;
 };
 
 struct Settings {
@@ -174,8 +176,24 @@
   TenantSettings settings;
 };
 
-using Event = std::variant<EndpointListUpdate, RequestArrived, ClientDisconnected, AttemptEnded,
-                           StreamStarted, TimerFired, QuotaShareGranted, TenantChanged>;
+// New settings of a request class, or of one that was unknown. Indexes continue those of Settings::classes
+// and may be reused; memory grows with the largest index. Open requests keep the settings that their class
+// had on their arrival. Invalid settings and negative indexes are ignored and counted.
+struct ClassChanged {
+  int request_class = 0;
+  bool listed = true;  // false: it has left the configuration; late requests of it are still served
+  ClassSettings settings;
+};
+
+// New settings. Classes and tenants are not taken from here: they have events of their own. The seed, the
+// zones, the source of the endpoint list and the clock's step stay those of the start.
+struct SettingsChanged {
+  Settings settings;
+};
+
+using Event =
+    std::variant<EndpointListUpdate, RequestArrived, ClientDisconnected, AttemptEnded, StreamStarted,
+                 TimerFired, QuotaShareGranted, TenantChanged, ClassChanged, SettingsChanged>;
 
 // ---- Actions
 // ------------------------------------------------------------------------------------------------
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -6,10 +6,10 @@
 #include "dappletiller/balancer.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <limits>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -17,7 +17,10 @@
 #include <tuple>
 #include <utility>
 
+#include "balancer/class_table.hpp"
 #include "balancer/constants.hpp"
+#include "balancer/settings_change.hpp"
+#include "balancer/work_statistics.hpp"
 #include "limits/slow_start.hpp"
 #include "limits/tenant_quota.hpp"
 
@@ -41,7 +44,6 @@
   bool probe_in_flight = false;   // a probe request is in flight, to find out whether the server responds
   int failures = 0;               // consecutive
   Micros backoff_until = 0;
-  Micros down_at = 0;       // unused
   Micros next_send_at = 0;  // when the slow-start allowance permits the next request
 };
 
@@ -74,7 +76,8 @@
 
 struct Request {
   RequestId id = 0;
-  int request_class = 0;
+  std::shared_ptr<const ClassSettings> class_settings;
+  int max_attempts = 1;  // on arrival
   Micros deadline = 0;
   Micros objective_at = 0;
   double work = 0;
@@ -99,24 +102,21 @@
       : settings_(settings),
         random_(settings.seed),
         tenant_quota_({}, settings.proxies),
-        slow_start_({settings.initial_capacity, settings.warmup_time, settings.overload_factor,
-                     settings.overload_window}) {
+        slow_start_(SlowStartRules(settings)) {
     if (settings_.classes.empty()) throw std::invalid_argument("settings have no request class");
     if (settings_.zones < 1 || settings_.zone < 0 || settings_.zone >= settings_.zones)
       throw std::invalid_argument("zone out of range");
     if (settings_.proxies < 1) throw std::invalid_argument("proxies must be at least 1");
     if (settings_.max_attempts < 1) throw std::invalid_argument("max_attempts must be at least 1");
-    shortest_objective_ = settings_.classes[0].latency_objective;
-    for (const ClassSettings& c : settings_.classes) {
-      if (c.client_timeout <= 0 || c.latency_objective <= 0)
+    for (int i = 0; const ClassSettings& c : settings_.classes) {
+      if (!classes_.Set(i++, true, c))
         throw std::invalid_argument("a request class has no latency objective or no client timeout");
-      shortest_objective_ = std::min<double>(shortest_objective_, c.latency_objective);
-      max_weight_ = std::max(max_weight_, c.weight);
     }
     for (int i = 0; const TenantSettings& t : settings_.tenants) On(TenantChanged{i++, true, t});
+    settings_.classes = {};
+    settings_.tenants = {};
     quota_share_ = 1.0 / settings_.proxies;
     zones_.resize(settings_.zones);
-    usual_time_left_.resize(settings_.classes.size(), 0);
   }
 
   void Handle(Micros now, const Event& event, std::vector<Action>* actions) {
@@ -139,7 +139,7 @@
 
   void Start() {
     started_ = true;
-    cutoff_updated_at_ = now_;
+    work_.Start(now_);
     // Randomized: proxies that start together must not all poll at once.
     if (settings_.endpoints_on_request) SchedulePoll(Uniform() * kInitialPollShare * settings_.poll_interval);
   }
@@ -201,7 +201,7 @@
     server.backoff_until = 0;
     // A random start: all proxies learn of the server at the same time and must not all send to it first.
     server.preference = Uniform();
-    server.virtual_time = zones_[entry.zone].virtual_time + Uniform() * ServiceTime(mean_work_, server);
+    server.virtual_time = zones_[entry.zone].virtual_time + Uniform() * ServiceTime(work_.mean(), server);
   }
 
   double ProxiesPerZone() const { return std::max(1.0, 1.0 * settings_.proxies / settings_.zones); }
@@ -236,32 +236,6 @@
     server.in_rotation = false;
   }
 
-  // ---- Cutoff ----
-
-  // Adds a hint to the histogram (bins of half an octave). Once a second updates the cutoff, the hint above
-  // which lies kLongWorkShare of the work.
-  void RecordHint(double work) {
-    if (hint_count_ == 0) time_per_work_.clear();  // learned from unhinted requests, in another unit
-    mean_work_ += (work - mean_work_) * std::max(kMeanStep, 1.0 / (1.0 + hint_count_++));
-    int bin = std::clamp(static_cast<int>(2 * std::log2(std::max(work, 1.0))), 0, kHintBins - 1);
-    hint_histogram_[bin] += work;
-    if (now_ - cutoff_updated_at_ < kMicrosPerSecond || hint_count_ < kMinCutoffSamples) return;
-    cutoff_updated_at_ = now_;
-    double total = 0;
-    for (double& b : hint_histogram_) total += (b *= kHintHistogramDecay);
-    double above = 0;
-    int i = kHintBins - 1;
-    while (i > 0 && above + hint_histogram_[i] <= kLongWorkShare * total) above += hint_histogram_[i--];
-    // Interpolate within the bin that contains the boundary.
-    double part = hint_histogram_[i] > 0 ? (kLongWorkShare * total - above) / hint_histogram_[i] : 0;
-    // Long requests must be few: if all hints are similar there are none.
-    cutoff_ = std::max(kMinCutoffToMean * mean_work_, std::exp2((i + 1 - std::clamp(part, 0.0, 1.0)) / 2.0));
-  }
-
-  bool MeanWorkKnown() const {
-    return hint_count_ > 0 ? hint_count_ >= kMinCutoffSamples : unhinted_count_ >= kMinUnhintedRequests;
-  }
-
   // ---- Health and speed ----
 
   // Service time per unit of work, in microseconds, times the server's concurrency. Learned for each hardware
@@ -322,8 +296,8 @@
         tail_latency_ratio_ =
             std::max(1.0, tail_latency_ratio_ *
                               QuantileStep(latency > tail_latency_ratio_ * attempt.expected_latency));
-        if ((request.hinted || (hint_count_ == 0 && MeanWorkKnown())) && latency > 0 &&
-            request.work >= mean_work_) {
+        if ((request.hinted || (!work_.has_hints() && work_.mean_is_known())) && latency > 0 &&
+            request.work >= work_.mean()) {
           double ratio = latency * server.entry.concurrency / request.work;
           auto& [time_per_work, samples] =
               time_per_work_.try_emplace(server.entry.kind, TimePerWork(server), 0).first->second;
@@ -348,8 +322,8 @@
         break;
       case Outcome::kRejected:
         // The server's queue is full: assume a wait of at least the shortest objective.
-        StepMedian(zone.median_wait, shortest_objective_, server, 1);
-        server.observed_wait = std::max(ExpectedWait(server), shortest_objective_);
+        StepMedian(zone.median_wait, classes_.shortest_objective(), server, 1);
+        server.observed_wait = std::max(ExpectedWait(server), classes_.shortest_objective());
         server.observed_wait_at = now_;
         break;
       case Outcome::kConnectFailed:
@@ -405,13 +379,13 @@
 
   // Moves a running median of waits one step towards a sample.
   void StepMedian(double& median, double sample, const Server& server, double weight) const {
-    double step = weight * kMedianStep * ServiceTime(mean_work_, server);
+    double step = weight * kMedianStep * ServiceTime(work_.mean(), server);
     median = std::max(0.0, median + (sample > median ? step : -step));
   }
 
   // Backoff after a failure, with jitter so that proxies do not retry at the same time.
   double Backoff(int doublings) {
-    double span = kInitialBackoffToObjective * shortest_objective_ * (0.75 + 0.5 * Uniform());
+    double span = kInitialBackoffToObjective * classes_.shortest_objective() * (0.75 + 0.5 * Uniform());
     return std::ldexp(span, std::clamp(doublings, 0, kMaxBackoffDoublings));
   }
 
@@ -449,7 +423,7 @@
   bool ZoneAvailable(int zone, const Request& request) const {
     if (zones_[zone].failures < kZoneFailureThreshold) return true;
     return now_ >= zones_[zone].backoff_until && !request.is_long &&
-           settings_.classes[request.request_class].effect == Effect::kSafe;
+           request.class_settings->effect == Effect::kSafe;
   }
 
   // After failures a server gets one request at a time until it responds.
@@ -480,7 +454,7 @@
   // Charges work to the server's slow-start allowance. Proxies of all zones send to it: a server put back by
   // an operator would otherwise stay unused if its zone has no proxy.
   void ChargeSlowStart(Server& server, double work) {
-    if (hint_count_ == 0) work *= kUnhintedSlowStartWork;
+    if (!work_.has_hints()) work *= kUnhintedSlowStartWork;
     Micros age = std::max(Uptime(server), server.next_send_at - EffectiveStart(server));
     server.next_send_at =
         EffectiveStart(server) + slow_start_.NextSendAge(Capacity(server), quota_share_, work, age);
@@ -488,12 +462,12 @@
 
   bool SlowStartAllows(Server& server, const Request& request) {
     if (!InSlowStart(server)) return true;
-    bool work_unknown = hint_count_ == 0 && (!MeanWorkKnown() || request.work < mean_work_);
+    bool work_unknown = !work_.has_hints() && (!work_.mean_is_known() || request.work < work_.mean());
     if (work_unknown || now_ >= quota_share_valid_until_ || quota_share_ <= 0) return false;
-    double max_work = slow_start_.MaxRequestWork(Capacity(server), mean_work_, Uptime(server));
+    double max_work = slow_start_.MaxRequestWork(Capacity(server), work_.mean(), Uptime(server));
     // A proxy that has just started does not know the mean work and assumes the largest permitted request.
     if (server.next_send_at < EffectiveStart(server))
-      ChargeSlowStart(server, Uniform() * (MeanWorkKnown() ? mean_work_ : max_work));
+      ChargeSlowStart(server, Uniform() * (work_.mean_is_known() ? work_.mean() : max_work));
     return now_ >= server.next_send_at && request.work <= max_work;
   }
 
@@ -507,14 +481,14 @@
   bool IsEligible(Server& server, const Request& request) {
     if (InBackoff(server) || !SlowStartAllows(server, request) || AlreadyTried(request, server.entry.id))
       return false;
-    bool probe = !server.probe_in_flight && !request.is_long &&
-                 settings_.classes[request.request_class].effect == Effect::kSafe;
+    bool probe =
+        !server.probe_in_flight && !request.is_long && request.class_settings->effect == Effect::kSafe;
     return probe || !HasSuspectedLoss(server);
   }
 
   // Whether the wait is above the zone's median and a mean service time: skipped until the queue has drained.
   bool IsCongested(const Server& server, double wait) const {
-    return wait > std::max(zones_[server.entry.zone].median_wait, ServiceTime(mean_work_, server));
+    return wait > std::max(zones_[server.entry.zone].median_wait, ServiceTime(work_.mean(), server));
   }
 
   static bool AlreadyTried(const Request& request, ServerId id) {
@@ -537,7 +511,7 @@
       }
       zones_[zone].virtual_time = std::max(zones_[zone].virtual_time, server.virtual_time);
       RemoveFromRotation(server);
-      server.virtual_time += ServiceTime(mean_work_, server);
+      server.virtual_time += ServiceTime(work_.mean(), server);
       UpdateRotation(server);
     }
     return best;
@@ -578,8 +552,8 @@
   Candidate ChooseServer(const Request& request) {
     int home = HomeZone(request);
     Candidate best = NextInRotation(home, request);
-    double cost = kCrossZoneWaitFactor * settings_.cross_zone_cost *
-                  settings_.classes[request.request_class].latency_objective;
+    double cost =
+        kCrossZoneWaitFactor * settings_.cross_zone_cost * request.class_settings->latency_objective;
     if (best.server != nullptr && best.wait <= cost) return best;
     for (int z = 0; z < settings_.zones; ++z) {
       if (z == home || !ZoneAvailable(z, request)) continue;
@@ -593,7 +567,7 @@
 
   // Retries of a keyed request that may have run must stay within its deduplication scope.
   Candidate ChooseRetryServer(const Request& request) {
-    const ClassSettings& c = settings_.classes[request.request_class];
+    const ClassSettings& c = *request.class_settings;
     const Attempt* first = FirstPossiblyRun(request);
     if (first == nullptr || c.effect == Effect::kSafe || c.key_scope == KeyScope::kAllServers)
       return ChooseServer(request);
@@ -632,7 +606,8 @@
     while (!queue_.empty()) {
       Request& request = requests_.at(queue_.begin()->second);
       Candidate candidate = NextIdleServer(HomeZone(request), request);
-      if (candidate.server == nullptr && request.aged_estimate < cutoff_) candidate = ChooseServer(request);
+      if (candidate.server == nullptr && request.aged_estimate < work_.cutoff())
+        candidate = ChooseServer(request);
       if (candidate.server == nullptr) return;
       Dequeue(request);
       if (CheckTooLate(request, candidate) && MayReject(request)) {
@@ -663,13 +638,13 @@
     attempt.sent_at = now_;
     attempt.reserves = request.is_long;
     attempt.expected_wait = ExpectedWait(server);
-    attempt.expected_latency = attempt.expected_wait + ServiceTime(request.work + mean_work_, server);
+    attempt.expected_latency = attempt.expected_wait + ServiceTime(request.work + work_.mean(), server);
     double overdue_factor =
-        kOverdueAfterTails *
-        (settings_.classes[request.request_class].effect == Effect::kUnsafe ? kUnsafeOverdueFactor : 1);
+        kOverdueAfterTails * (request.class_settings->effect == Effect::kUnsafe ? kUnsafeOverdueFactor : 1);
     double remaining = request.deadline - now_;
-    double tail_latency = std::max(tail_latency_ratio_ * attempt.expected_latency,
-                                   kMinSuspectToObjective * shortest_objective_ / kSuspectAfterTails);
+    double tail_latency =
+        std::max(tail_latency_ratio_ * attempt.expected_latency,
+                 kMinSuspectToObjective * classes_.shortest_objective() / kSuspectAfterTails);
     attempt.suspect_at = now_ + static_cast<Micros>(std::min(kSuspectAfterTails * tail_latency, remaining));
     attempt.overdue_at = now_ + static_cast<Micros>(std::min(overdue_factor * tail_latency, remaining));
     attempt.probe = HasSuspectedLoss(server);
@@ -697,19 +672,20 @@
 
   // Latest time for the last byte of another attempt, however late it is connected, without a second effect.
   Micros SendDeadline(const Request& request) const {
-    const ClassSettings& c = settings_.classes[request.request_class];
+    const ClassSettings& c = *request.class_settings;
     const Attempt* first = FirstPossiblyRun(request);
     if (first == nullptr || c.effect == Effect::kSafe) return request.deadline;
     return c.effect == Effect::kKeyed ? std::min(request.deadline, first->sent_at + c.key_lifetime) : 0;
   }
 
   bool MayRetry(const Request& request) const {
-    return static_cast<int>(request.attempts.size()) < settings_.max_attempts && now_ < SendDeadline(request);
+    const int max_attempts = std::min(request.max_attempts, settings_.max_attempts);
+    return static_cast<int>(request.attempts.size()) < max_attempts && now_ < SendDeadline(request);
   }
 
   // A rejection promises that the client can safely try again.
   bool MayReject(const Request& request) const {
-    const ClassSettings& c = settings_.classes[request.request_class];
+    const ClassSettings& c = *request.class_settings;
     return c.effect == Effect::kSafe || FirstPossiblyRun(request) == nullptr ||
            (c.effect == Effect::kKeyed && c.key_scope == KeyScope::kAllServers);
   }
@@ -831,26 +807,54 @@
     tenant_quota_.Set(e.tenant, e.active, {e.settings.service_share, e.settings.quota_per_s});
   }
 
+  // ---- Changed settings ----
+
+  static limits::SlowStart::Rules SlowStartRules(const Settings& s) {
+    return {s.initial_capacity, s.warmup_time, s.overload_factor, s.overload_window};
+  }
+
+  void On(const ClassChanged& e) {
+    if (!classes_.Set(e.request_class, e.listed, e.settings)) ignored_++;
+  }
+
+  void On(const SettingsChanged& e) {
+    const Settings before = settings_;
+    if (!TakeOver(e.settings, &settings_)) {
+      ignored_++;
+      return;
+    }
+    const bool had_grant = quota_share_valid_until_ != std::numeric_limits<Micros>::max();
+    if (!had_grant && settings_.proxies != before.proxies) {
+      quota_share_ = 1.0 / settings_.proxies;
+      tenant_quota_.SetProxyShare(quota_share_);
+    }
+    slow_start_ = limits::SlowStart(SlowStartRules(settings_));
+    SendQueued();
+  }
+
   // ---- Admission ----
 
   void On(const RequestArrived& e) {
-    if (e.request_class < 0 || e.request_class >= static_cast<int>(settings_.classes.size()) ||
-        requests_.count(e.id) != 0) {
+    if (!classes_.Contains(e.request_class) || requests_.count(e.id) != 0) {
       ignored_++;
       return;
     }
-    const ClassSettings& c = settings_.classes[e.request_class];
     Request& request = requests_[e.id];
     request.id = e.id;
-    request.request_class = e.request_class;
+    request.class_settings = classes_.at(e.request_class).settings;
+    request.max_attempts = settings_.max_attempts;
+    const ClassSettings& c = *request.class_settings;
     request.deadline = e.answer_by == 0 ? e.deadline : std::min(e.deadline, e.answer_by);
     request.hinted = e.has_hint && e.work_hint > 0;
-    if (request.hinted) RecordHint(e.work_hint);
-    // Without hints, work is counted in mean requests, and their service time is learned.
-    if (!request.hinted && hint_count_ == 0 && ++unhinted_count_ == kMinUnhintedRequests)
-      mean_work_ = kUnhintedWorkToObjective * shortest_objective_;
-    request.work = request.hinted ? e.work_hint : mean_work_;
-    request.is_long = request.hinted && request.work > cutoff_;
+    if (request.hinted) {
+      const bool is_first = !work_.has_hints();
+      if (is_first) time_per_work_.clear();  // learned from unhinted requests, in another unit
+      work_.RecordHint(e.work_hint, now_);
+    } else {
+      work_.RecordUnhinted(classes_.shortest_objective());
+    }
+    request.work = request.hinted ? e.work_hint : work_.mean();
+    request.is_long = request.hinted && request.work > work_.cutoff();
     request.aged_estimate = request.work;
     request.aging_interval = std::max<Micros>(1, static_cast<Micros>(kAgingInterval * c.latency_objective));
     request.objective_at = ObjectiveTime(e, c, request.work);
@@ -866,7 +870,7 @@
   // less time left than usual in its class is a retry, and its objective is derived from the deadline.
   Micros ObjectiveTime(const RequestArrived& e, const ClassSettings& c, double work) {
     Micros remaining = e.deadline - now_;
-    Micros& usual = usual_time_left_[e.request_class];
+    Micros& usual = classes_.at(e.request_class).usual_time_left;
     Micros span =
         std::min(c.client_timeout, c.latency_objective + static_cast<Micros>(c.objective_per_work * work));
     Micros objective_at = now_ + span;
@@ -878,8 +882,8 @@
   }
 
   double WeightOf(const RequestArrived& e, const ClassSettings& c, const Request& request) {
-    double weight = max_weight_ > 0 ? c.weight / max_weight_ : 1;
-    if (!settings_.weight_per_work && request.work > 0) weight *= std::min(1.0, mean_work_ / request.work);
+    double weight = classes_.max_weight() > 0 ? c.weight / classes_.max_weight() : 1;
+    if (!settings_.weight_per_work && request.work > 0) weight *= std::min(1.0, work_.mean() / request.work);
     if (request.objective_at <= now_) weight *= c.late_weight;
     if (tenant_quota_.IsOver(e.tenant, now_)) weight *= settings_.over_quota_weight;
     return weight;
@@ -890,10 +894,11 @@
   double MaxWait(const Request& request, double service_time) const {
     double remaining = request.objective_at - now_ - service_time;
     if (remaining <= 0) {
-      double late_weight = settings_.classes[request.request_class].late_weight;
+      double late_weight = request.class_settings->late_weight;
       remaining = late_weight * (request.deadline - now_ - service_time);
     }
-    remaining = std::clamp(remaining, 0.0, std::max(shortest_objective_, kMinOwnWaitShare * remaining));
+    remaining =
+        std::clamp(remaining, 0.0, std::max(classes_.shortest_objective(), kMinOwnWaitShare * remaining));
     return remaining * kMaxWaitToRemaining * (kMinWaitShare + (1 - kMinWaitShare) * request.weight);
   }
 
@@ -970,16 +975,13 @@
     Emit(WakeAfter{first - now_});
   }
 
-  static constexpr int kHintBins = 80;
-
-  Settings settings_;
+  Settings settings_;  // without the classes and tenants in force
+  ClassTable classes_;
   std::mt19937_64 random_;  // the standard distributions would differ between platforms
   Micros now_ = 0;
   std::vector<Action>* actions_ = nullptr;
   bool started_ = false;
   std::uint64_t ignored_ = 0;
-  double shortest_objective_ = 0;
-  double max_weight_ = 0;
 
   std::map<ServerId, Server> servers_;
   std::map<int, std::set<ServerId>> servers_by_cell_;
@@ -987,12 +989,7 @@
   Micros next_poll_at_ = 0;
   int poll_failures_ = 0;
 
-  std::array<double, kHintBins> hint_histogram_{};
-  double hint_count_ = 0;
-  double unhinted_count_ = 0;  // before the first hint
-  double mean_work_ = 1;
-  double cutoff_ = std::numeric_limits<double>::infinity();
-  Micros cutoff_updated_at_ = 0;
+  WorkStatistics work_;
   // By hardware kind: service time = work * time_per_work / concurrency; and the number of samples.
   std::map<int, std::pair<double, int>> time_per_work_;
   double failure_rate_ = 0;        // running share of attempts that ended in an error or a reset
@@ -1004,7 +1001,6 @@
   std::set<TimerRef> timers_;
   Micros wake_at_ = -1;
   double retry_budget_ = kMaxRetryBudget;
-  std::vector<Micros> usual_time_left_;  // by class: high quantile of the time to the deadline on arrival
   limits::TenantQuota tenant_quota_;
   limits::SlowStart slow_start_;
   double quota_share_ = 0;  // of what all proxies use together
--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -61,10 +61,21 @@
   return balancer::EndpointListUpdate::Kind::kFailed;
 }
 
+std::vector<NamedClass> NamedClasses(const balancer::Settings& settings,
+                                     const std::vector<std::string>& names) {
+  std::vector<NamedClass> classes;
+  for (std::size_t i = 0; i < settings.classes.size() && i < names.size(); ++i)
+    classes.push_back({names[i], settings.classes[i]});
+  return classes;
+}
+
 }  // namespace
 
-RequestDispatcher::RequestDispatcher(EventLoop& loop, Log& log, const balancer::Settings& settings)
-    : loop_(loop), log_(log), balancer_(settings), wake_(loop), log_counters_(loop) {}
+RequestDispatcher::RequestDispatcher(EventLoop& loop, Log& log, const balancer::Settings& settings,
+                                     const std::vector<std::string>& class_names)
+    : loop_(loop), log_(log), balancer_(settings), wake_(loop), log_counters_(loop) {
+  classes_.Replace(NamedClasses(settings, class_names));
+}
 
 void RequestDispatcher::Connect(UpstreamTransport& upstream, EndpointSource& endpoints) {
   upstream_ = &upstream;
@@ -154,6 +165,38 @@
   Deliver(event);
 }
 
+// ---- Settings ----
+
+void RequestDispatcher::SetClass(const NamedClass& named) {
+  if (classes_.Find(named.name) == nullptr) log_.Info("class %s added", named.name.c_str());
+  DeliverClass(classes_.Set(named));
+}
+
+void RequestDispatcher::ApplySettings(const balancer::Settings& settings,
+                                      const std::vector<std::string>& class_names) {
+  const std::vector<NamedClass> all = NamedClasses(settings, class_names);
+  LogClassChanges(all);
+  classes_.Replace(all);
+  for (const RequestClasses::Entry& entry : classes_.entries()) DeliverClass(entry);
+  Deliver(balancer::SettingsChanged{settings});
+}
+
+void RequestDispatcher::DeliverClass(const RequestClasses::Entry& entry) {
+  Deliver(balancer::ClassChanged{entry.index, entry.listed, entry.settings});
+}
+
+void RequestDispatcher::LogClassChanges(const std::vector<NamedClass>& all) const {
+  std::set<std::string> names;
+  for (const NamedClass& named : all) {
+    names.insert(named.name);
+    if (classes_.Find(named.name) == nullptr) log_.Info("reload: class %s added", named.name.c_str());
+  }
+  for (const RequestClasses::Entry& entry : classes_.entries()) {
+    if (entry.listed && names.count(entry.name) == 0)
+      log_.Info("reload: class %s is not listed any more; late requests are served", entry.name.c_str());
+  }
+}
+
 // Detaches and returns the request's sink; null if it has been detached before.
 ResponseSink* RequestDispatcher::CloseRequest(RequestId id) {
   auto it = requests_.find(id);
--- a/src/dispatch/request_dispatcher.hpp
+++ b/src/dispatch/request_dispatcher.hpp
@@ -18,6 +18,7 @@
 #include "base/payload.hpp"
 #include "dappletiller/balancer.hpp"
 #include "dispatch/counters.hpp"
+#include "dispatch/request_classes.hpp"
 #include "dispatch/server_start_times.hpp"
 #include "dispatch/types.hpp"
 #include "drain/administrative_drains.hpp"
@@ -28,8 +29,10 @@
 
 class RequestDispatcher {
  public:
-  // Throws std::invalid_argument for settings that the module rejects.
-  RequestDispatcher(EventLoop& loop, Log& log, const balancer::Settings& settings);
+  // `class_names`: of the classes in `settings`. Throws std::invalid_argument for settings that the module
+  // rejects.
+  RequestDispatcher(EventLoop& loop, Log& log, const balancer::Settings& settings,
+                    const std::vector<std::string>& class_names);
   // Must be called once, before any other function. Both objects must outlive the dispatcher.
   void Connect(UpstreamTransport& upstream, EndpointSource& endpoints);
 
@@ -57,6 +60,11 @@
   void SetTenant(int index, bool active, const balancer::TenantSettings& tenant) {
     Deliver(balancer::TenantChanged{index, active, tenant});
   }
+  // From the configuration feed: a new or changed class. Open requests keep the settings that they came with.
+  void SetClass(const NamedClass& named);
+  // From a reload: the settings that a running proxy can take over (SettingsChanged), and all classes.
+  void ApplySettings(const balancer::Settings& settings, const std::vector<std::string>& class_names);
+  const RequestClasses& classes() const { return classes_; }
   // From the operators. Drain: the server counts as draining, regardless of discovery. Undrain: it returns
   // through slow start. False: discovery has never listed the server. Both are idempotent.
   bool Drain(const std::string& uid);
@@ -93,6 +101,8 @@
   };
 
   void Deliver(balancer::Event event);
+  void DeliverClass(const RequestClasses::Entry& entry);
+  void LogClassChanges(const std::vector<NamedClass>& all) const;
   // `previous_list_at`: when discovery last answered before this list; 0: never.
   void ApplyEndpoints(const EndpointList& list, Micros previous_list_at);
   void ReapplyEndpoint(const std::string& uid);
@@ -114,6 +124,7 @@
   EventLoop& loop_;
   Log& log_;
   balancer::Balancer balancer_;
+  RequestClasses classes_;
   UpstreamTransport* upstream_ = nullptr;
   EndpointSource* endpoints_ = nullptr;
   std::unordered_map<RequestId, Request> requests_;
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -20,7 +20,7 @@
 
 // A request as received from a client.
 struct IncomingRequest {
-  int request_class = 0;  // its index in the settings
+  int request_class = 0;  // its index in RequestClasses
   int tenant = -1;        // its index in the settings; -1: unknown tenant
   Micros deadline = 0;    // when the client gives up
   std::optional<Micros> work_hint;
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -275,13 +275,13 @@
     for (std::string_view name : kSingletonHeaders) {
       if (request->Count(name) > 1) return Reject(400, "a header that may appear only once is repeated");
     }
-    auto entry = listener_.class_by_name_.find(std::string(request->Find("Request-Class").value_or("")));
-    if (entry == listener_.class_by_name_.end()) return Reject(400, "Request-Class is missing or unknown");
+    const RequestClasses::Entry* request_class =
+        listener_.dispatcher_.classes().Find(request->Find("Request-Class").value_or(""));
+    if (request_class == nullptr) return Reject(400, "Request-Class is missing or unknown");
     request_id_ = request->Find("Request-Id").value_or("");
     if (request_id_.empty()) return Reject(400, "Request-Id is missing");
-    auto index = static_cast<std::size_t>(entry->second);
     // Servers reject inconsistent requests, which would look like server failures.
-    balancer::Effect effect = listener_.options_.effects[index];
+    const balancer::Effect effect = request_class->settings.effect;
     bool safe = effect == balancer::Effect::kSafe;
     bool keyed = !request->Find("Idempotency-Key").value_or("").empty();
     if ((request->method() == "GET") != safe || keyed != (effect == balancer::Effect::kKeyed) ||
@@ -292,10 +292,10 @@
     if (!listener_.open_request_ids_.insert(request_id_).second)
       return Reject(409, "a request with this Request-Id is still open");
     IncomingRequest incoming;
-    incoming.request_class = listener_.options_.routed_as[index];
+    incoming.request_class = request_class->index;
     auto tenant = listener_.tenant_by_name_.find(std::string(request->Find("Tenant").value_or("")));
     if (tenant != listener_.tenant_by_name_.end()) incoming.tenant = tenant->second;
-    Micros request_timeout = listener_.options_.request_timeout[index];
+    Micros request_timeout = request_class->settings.client_timeout;
     Micros max_hint = kMaxHintToTimeout * request_timeout;
     if (auto stated = request->Find("Request-Timeout")) {
       auto span = http::ParseTimeout(*stated);
@@ -407,11 +407,6 @@
   descriptors_.SetOnAvailable([this] {
     if (clients_waiting_ && listener_) loop_.NotifyAgain(token_, EPOLLIN);
   });
-  for (std::size_t i = 0; i < options_.classes.size(); ++i) {
-    class_by_name_[options_.classes[i]] = static_cast<int>(i);
-    if (options_.routed_as.size() <= i) options_.routed_as.push_back(static_cast<int>(i));
-  }
-  module_classes_ = options_.classes.size();
   for (std::size_t i = 0; i < options_.tenants.size(); ++i) {
     tenant_by_name_[options_.tenants[i]] = static_cast<int>(i);
   }
@@ -435,44 +430,6 @@
   return free_tenants_.back();
 }
 
-void DownstreamListener::UpdateClasses(const std::vector<std::string>& names,
-                                       const std::vector<Micros>& request_timeout,
-                                       const std::vector<balancer::Effect>& effects) {
-  for (std::size_t i = 0; i < names.size(); ++i) {
-    auto entry = class_by_name_.find(names[i]);
-    if (entry != class_by_name_.end()) {
-      auto index = static_cast<std::size_t>(entry->second);
-      if (options_.effects[index] == effects[i]) {
-        options_.request_timeout[index] = request_timeout[i];
-        continue;
-      }
-    }
-    // The module knows only its original classes: choose the one with this effect and the closest timeout.
-    int best = -1;
-    Micros best_difference = 0;
-    for (std::size_t c = 0; c < module_classes_; ++c) {
-      if (options_.effects[c] != effects[i]) continue;
-      Micros difference = options_.request_timeout[c] > request_timeout[i]
-                              ? options_.request_timeout[c] - request_timeout[i]
-                              : request_timeout[i] - options_.request_timeout[c];
-      if (best < 0 || difference < best_difference) best = static_cast<int>(c), best_difference = difference;
-    }
-    if (best < 0) {
-      log_.Info("reload: class %s ignored: no class had its effect at startup; restart to use it",
-                names[i].c_str());
-      continue;
-    }
-    // A class whose effect has changed becomes a new class; open requests keep the old one.
-    class_by_name_[names[i]] = static_cast<int>(options_.classes.size());
-    options_.classes.push_back(names[i]);
-    options_.request_timeout.push_back(request_timeout[i]);
-    options_.effects.push_back(effects[i]);
-    options_.routed_as.push_back(best);
-    log_.Info("reload: class %s added; routed as class %s", names[i].c_str(),
-              options_.classes[static_cast<std::size_t>(best)].c_str());
-  }
-}
-
 DownstreamListener::~DownstreamListener() {
   descriptors_.SetCloseUnused(DescriptorLimit::Side::kDownstream, nullptr);
   descriptors_.SetOnAvailable(nullptr);
--- a/src/downstream/listener.hpp
+++ b/src/downstream/listener.hpp
@@ -21,16 +21,10 @@
 
 struct ListenerOptions {
   Endpoint listen;
-  std::vector<std::string> classes;       // in the order of the settings
-  std::vector<Micros> request_timeout;    // by class: maximum time that a client waits
-  std::vector<balancer::Effect> effects;  // by class: determines the permitted method and key
-  std::size_t connection_slots = 0;       // maximum number of client connections with requests
+  std::size_t connection_slots = 0;  // maximum number of client connections with requests
   // How long after connecting a client's first request may be on its way: some round trips and a pause of the
   // client.
   Micros first_request_grace = 100'000;
-  // By class: index of the module's class that it is routed as; empty: the same index. A class added by a
-  // reload is routed as the module's class with the same effect and the closest timeout.
-  std::vector<int> routed_as;
   std::vector<std::string> tenants = {};  // in the order of the settings
   // A client that accepts no bytes of its response for this long is disconnected. `linger_for` applies once
   // the kernel has all of a last response; it is also the time for the client to read it.
@@ -79,11 +73,6 @@
   }
   // Sets the number of connection slots; excess connections are closed when they become idle.
   void SetConnectionSlots(std::size_t slots) { admission_.Resize(slots); }
-  // Updates the classes after a reload: new names are added, known ones get their new timeout, and one with a
-  // changed effect is treated as a new class from then on. Open requests keep their class. A class that is no
-  // longer listed stays known, so that late clients are still served.
-  void UpdateClasses(const std::vector<std::string>& names, const std::vector<Micros>& request_timeout,
-                     const std::vector<balancer::Effect>& effects);
   // Returns the index of a tenant, adding it if necessary.
   int AddTenant(const std::string& name);
   // Removes a tenant and returns its former index, which may be reused, or -1 if it is unknown. Open requests
@@ -110,11 +99,9 @@
   RequestDispatcher& dispatcher_;
   DescriptorLimit& descriptors_;
   ListenerOptions options_;
-  std::unordered_map<std::string, int> class_by_name_;
   std::unordered_map<std::string, int> tenant_by_name_;
-  int next_tenant_ = 0;             // next index that was never used
-  std::vector<int> free_tenants_;   // indexes of removed tenants
-  std::size_t module_classes_ = 0;  // number of classes that the module was created with; they come first
+  int next_tenant_ = 0;                               // next index that was never used
+  std::vector<int> free_tenants_;                     // indexes of removed tenants
   std::unordered_set<std::string> open_request_ids_;  // Request-Ids of open requests
   std::vector<char> discard_buffer_;                  // for data that is discarded
   FileDescriptor listener_;
--- a/src/proxy/components.cpp
+++ b/src/proxy/components.cpp
@@ -24,7 +24,7 @@
     : log(program_log),
       config(std::move(loaded)),
       operator_path(std::move(operator_file)),
-      dispatcher(loop, log, config.settings),
+      dispatcher(loop, log, config.settings, config.classes),
       descriptors(ConnectionLimit(config), ReservedForClients(config)),
       long_bodies(std::make_shared<BodyMemory>(LongBodyMemory(config))),
       upstream(loop, log, dispatcher, descriptors, MakeUpstreamLimits(config), long_bodies),
--- a/src/proxy/options.cpp
+++ b/src/proxy/options.cpp
@@ -31,12 +31,7 @@
   if (config.memory > 0) options.request_memory = std::make_shared<BodyMemory>(RequestMemory(config));
   options.listen = config.listen;
   options.connection_slots = ClientConnectionSlots(config);
-  options.classes = config.classes;
   options.tenants = config.tenants;
-  for (const auto& request_class : config.settings.classes) {
-    options.request_timeout.push_back(request_class.client_timeout);
-    options.effects.push_back(request_class.effect);
-  }
   return options;
 }
 
--- a/src/proxy/reload.cpp
+++ b/src/proxy/reload.cpp
@@ -38,24 +38,32 @@
   return files;
 }
 
-void ReloadClasses(const Config& config, ProxyComponents* components) {
-  const ListenerOptions options = MakeListenerOptions(config, nullptr);
-  components->listener.UpdateClasses(options.classes, options.request_timeout, options.effects);
+// What a running process cannot take over.
+bool NeedsRestart(const Config& in_use, const Config& loaded) {
+  const balancer::Settings& now = in_use.settings;
+  const balancer::Settings& then = loaded.settings;
+  return !(loaded.listen == in_use.listen) || loaded.name != in_use.name ||
+         loaded.names.zones != in_use.names.zones || then.zone != now.zone ||
+         then.endpoints_on_request != now.endpoints_on_request || then.clock_step != now.clock_step;
+}
+
+void ReloadSettings(const Config& config, ProxyComponents* components) {
+  components->dispatcher.ApplySettings(config.settings, config.classes);
   if (components->feed) components->feed->applier.ReapplyClasses();
 }
 
 void ReloadConfig(const Config& config, ProxyComponents* components) {
-  const bool settings_changed = config.settings_text != components->config.settings_text;
-  const bool needs_restart = settings_changed || !(config.listen == components->config.listen);
+  const bool needs_restart = NeedsRestart(components->config, config);
   const bool discovery_moves = !(config.discovery == components->config.discovery);
   components->descriptors.Resize(ConnectionLimit(config), ReservedForClients(config));
   components->listener.SetConnectionSlots(ClientConnectionSlots(config));
   components->upstream.SetLimits(MakeUpstreamLimits(config));
   if (discovery_moves) components->discovery.MoveTo(config.discovery, config.discovery_text);
-  if (settings_changed) ReloadClasses(config, components);
-  components->log.Important("reload: done, discovery %s %s%s", discovery_moves ? "moves to" : "stays at",
-                            config.discovery_text.c_str(),
-                            needs_restart ? "; classes are updated, other changes need a restart" : "");
+  ReloadSettings(config, components);
+  components->log.Important(
+      "reload: done, discovery %s %s%s", discovery_moves ? "moves to" : "stays at",
+      config.discovery_text.c_str(),
+      needs_restart ? "; the name, listen address, zones, registryMode or tick need a restart" : "");
 }
 
 // Changes the scope or the servers. The current settings stay in force until the new scope is complete.
--- a/src/proxy/settings_applier.cpp
+++ b/src/proxy/settings_applier.cpp
@@ -2,8 +2,6 @@
 
 #include <string>
 
-#include "config_feed/values.hpp"
-
 namespace dappletiller {
 namespace {
 
@@ -66,7 +64,29 @@
     LogUnreadable(entry, value.error().message);
     return;
   }
-  listener_.UpdateClasses({entry.name}, {value->max_client_wait}, {ToModuleEffect(value->effect)});
+  dispatcher_.SetClass({entry.name, MergeClass(entry.name, *value)});
+}
+
+// The feed gives a class's timeout and effect. The rest is that of the configuration's class of this name, or
+// of a similar one. How far and how long keys of a class are remembered follows from no other class: where
+// the configuration does not say it, no request of the class is repeated once it may have run.
+balancer::ClassSettings SettingsApplier::MergeClass(const std::string& name,
+                                                    const config_feed::ClassValue& value) const {
+  balancer::ClassSettings from_feed;
+  from_feed.effect = ToModuleEffect(value.effect);
+  from_feed.client_timeout = value.max_client_wait;
+  const RequestClasses::Entry* known = dispatcher_.classes().Find(name);
+  const RequestClasses::Entry* base = known != nullptr ? known : dispatcher_.classes().FindSimilar(from_feed);
+  balancer::ClassSettings merged = base != nullptr ? base->settings : from_feed;
+  const bool keys_are_known = known != nullptr && known->settings.effect == from_feed.effect;
+  if (!keys_are_known) {
+    merged.key_scope = balancer::KeyScope::kSameCell;
+    merged.key_lifetime = 0;
+  }
+  merged.effect = from_feed.effect;
+  merged.client_timeout = from_feed.client_timeout;
+  if (merged.latency_objective <= 0) merged.latency_objective = merged.client_timeout;
+  return merged;
 }
 
 void SettingsApplier::LogUnreadable(const config_feed::EffectiveEntry& entry, const std::string& why) {
--- a/src/proxy/settings_applier.hpp
+++ b/src/proxy/settings_applier.hpp
@@ -4,11 +4,13 @@
 #ifndef DAPPLETILLER_PROXY_SETTINGS_APPLIER_HPP_
 #define DAPPLETILLER_PROXY_SETTINGS_APPLIER_HPP_
 
+#include <string>
 #include <vector>
 
 #include "config_feed/client/feed_client.hpp"
 #include "config_feed/effective_entries.hpp"
 #include "config_feed/follower.hpp"
+#include "config_feed/values.hpp"
 #include "dispatch/request_dispatcher.hpp"
 #include "downstream/listener.hpp"
 #include "io/log.hpp"
@@ -31,6 +33,7 @@
   void ApplyTenant(const config_feed::EffectiveEntry& entry);
   void RemoveTenant(const std::string& name);
   void ApplyClass(const config_feed::EffectiveEntry& entry);
+  balancer::ClassSettings MergeClass(const std::string& name, const config_feed::ClassValue& value) const;
   void LogUnreadable(const config_feed::EffectiveEntry& entry, const std::string& why);
 
   Log& log_;
--- /dev/null
+++ b/tests/net/reload_test.cpp
@@ -0,0 +1,161 @@
+// The program under SIGHUP: what a reload has to reach. Each test is named after the failure that it guards
+// against.
+#include <string>
+#include <vector>
+
+#include "program.hpp"
+#include "support.hpp"
+
+namespace dappletiller::testing {
+namespace {
+
+// The settings that these tests change, as JSON.
+struct ReloadConfig {
+  std::string classes = R"({"name":"check","aim":4000000,"giveUp":20000000,"effect":"free"})";
+  std::string max_attempts = "5";
+  std::string discovery = "127.0.0.1:1";
+};
+
+std::string GuardedClass(const std::string& name, const std::string& group, const std::string& window) {
+  return R"({"name":")" + name + R"(","aim":4000000,"giveUp":20000000,"effect":"guarded","group":")" + group +
+         R"(","window":)" + window + "}";
+}
+
+// Each server is a pod of its own; all are in the proxy's zone.
+std::string ConfigText(const ReloadConfig& config, const std::vector<TestServer*>& servers) {
+  std::string targets;
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    const std::string number = std::to_string(i);
+    targets += (i == 0 ? "" : ",") + (R"({"uid":"s)" + number + R"(","endpoint":"127.0.0.1:)") +
+               std::to_string(servers[i]->port) + R"(","az":"a","state":"up","pod_group":)" + number + "}";
+  }
+  return R"({"name":"n0","listen":"127.0.0.1:0","seed":"7","limits":{"sockets":256},"discovery":")" +
+         config.discovery + R"(","known":{"rev":1,"all":true,"targets":[)" + targets +
+         R"(]},"settings":{"balancers":1,"zones":["a"],"zone":0,"kinds":["m"],"classes":[)" + config.classes +
+         R"(],"registryMode":"push","tick":5000,"invariants":{"askEvery":10000000,"cold":22000000,
+         "fall":2000000,"startCapacity":0.13,"tipMultiple":2.5,"graceToAnswer":20000},
+         "limits":{"maxAttempts":)" +
+         config.max_attempts + R"(,"mayCancel":true,"dialTimeout":250000,"connIdle":15000000}}})";
+}
+
+// A proxy with two servers, which is told to read a changed configuration.
+class ReloadedProxy {
+ public:
+  explicit ReloadedProxy(const ReloadConfig& at_start = {}) : program_(ConfigText(at_start, {&one, &two})) {
+    port_ = ReadPort(fixture, program_, "started as n0 on port ");
+  }
+
+  void Reload(const ReloadConfig& config) {
+    program_.Write(ConfigText(config, {&one, &two}));
+    program_.Signal(SIGHUP);
+    ++reloads_;
+    fixture.WaitUntil("the reload is done", [&] { return CountReloads() == reloads_; });
+  }
+
+  TestConnection Request(const std::string& request) {
+    TestConnection client = TestConnection::Connect(port_);
+    client.Send(request);
+    return client;
+  }
+
+  // Waits for the request at either server and lets that one answer.
+  void AnswerFirst(const std::string& id, const std::string& response) {
+    fixture.WaitUntil("a server has the request", [&] {
+      for (TestServer* server : {&one, &two}) {
+        TestConnection* at = Find(*server, id);
+        if (at == nullptr) continue;
+        at->text.clear();
+        at->Send(response);
+        return true;
+      }
+      return false;
+    });
+  }
+
+  // Servers that have the request and have not answered it.
+  int CountWaiting(const std::string& id) {
+    return static_cast<int>(Find(one, id) != nullptr) + static_cast<int>(Find(two, id) != nullptr);
+  }
+
+  TestServer one, two;
+  ProxyFixture fixture;  // only for its bounded waits
+
+ private:
+  static TestConnection* Find(TestServer& server, const std::string& id) {
+    while (server.Accept()) {
+    }
+    for (TestConnection& connection : server.connections) {
+      if (connection.HasReceived("Request-Id: " + id + "\r\n")) return &connection;
+    }
+    return nullptr;
+  }
+
+  int CountReloads() {
+    const std::string log = program_.ReadLog();
+    int count = 0;
+    for (auto at = log.find("reload: done"); at != std::string::npos; at = log.find("reload: done", at + 1))
+      ++count;
+    return count;
+  }
+
+  Program program_;
+  std::uint16_t port_ = 0;
+  int reloads_ = 0;
+};
+
+std::string KeyedRequest(const std::string& id, const std::string& request_class) {
+  return "POST /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id + "\r\nRequest-Class: " + request_class +
+         "\r\nIdempotency-Key: key-" + id + "\r\nRequest-Timeout: 15000m\r\nContent-Length: 2\r\n\r\nhi";
+}
+
+TEST_CASE("a keyed request of a class that a reload added or changed is repeated outside its group") {
+  const std::string wide = GuardedClass("save", "zone", "6000000");
+  ReloadConfig at_start;
+  SUBCASE("added") { at_start.classes = wide; }
+  SUBCASE("changed") { at_start.classes = wide + "," + GuardedClass("list", "zone", "6000000"); }
+  ReloadedProxy proxy(at_start);
+  proxy.Reload({.classes = wide + "," + GuardedClass("list", "cell", "4000000")});
+  for (const std::string id : {"k1", "k2", "k3"}) {
+    TestConnection client = proxy.Request(KeyedRequest(id, "list"));
+    proxy.AnswerFirst(id, Response(500));  // it may have run
+    proxy.fixture.WaitForData(client, "HTTP/1.1 502 ");
+    CHECK(proxy.CountWaiting(id) == 0);
+  }
+}
+
+TEST_CASE("a keyed request is repeated after the window that a reload has shortened") {
+  ReloadedProxy proxy({.classes = GuardedClass("save", "zone", "6000000")});
+  proxy.Reload({.classes = GuardedClass("save", "zone", "300000")});
+  TestConnection client = proxy.Request(KeyedRequest("k1", "save"));
+  proxy.fixture.WaitUntil("a server has the request", [&] { return proxy.CountWaiting("k1") == 1; });
+  ::poll(nullptr, 0, 400);                 // longer than the window
+  proxy.AnswerFirst("k1", Response(500));  // it may have run
+  proxy.fixture.WaitForData(client, "HTTP/1.1 502 ");
+  CHECK(proxy.CountWaiting("k1") == 0);
+}
+
+TEST_CASE("a reload does not reach the number of attempts") {
+  ReloadedProxy proxy;
+  proxy.Reload({.max_attempts = "1"});
+  TestConnection client = proxy.Request(SafeRequest("a1"));
+  proxy.AnswerFirst("a1", Response(500));
+  proxy.fixture.WaitForData(client, "HTTP/1.1 50");
+  CHECK(proxy.CountWaiting("a1") == 0);
+}
+
+TEST_CASE("a reload back to the settings of the start is skipped") {
+  const std::string other = "," + GuardedClass("save", "zone", "6000000");
+  const std::string free = ReloadConfig().classes + other;
+  ReloadedProxy proxy({.classes = free});
+  proxy.Reload({.classes = GuardedClass("check", "zone", "6000000") + other});
+  TestConnection keyed = proxy.Request(KeyedRequest("k1", "check"));
+  proxy.AnswerFirst("k1", Response(200, "keyed"));
+  proxy.fixture.WaitForData(keyed, "keyed");
+  proxy.Reload({.classes = free});
+  TestConnection safe = proxy.Request(SafeRequest("a1"));
+  proxy.AnswerFirst("a1", Response(200, "safe"));
+  proxy.fixture.WaitForData(safe, "safe");
+}
+
+}  // namespace
+}  // namespace dappletiller::testing
