--- a/src/config/platform_config.cpp
+++ b/src/config/platform_config.cpp
@@ -183,10 +183,7 @@
   const Json::Value& limits = Member(settings, "limits");
   config.dial_timeout = static_cast<Micros>(Number(limits, "dialTimeout"));
   config.idle_timeout = static_cast<Micros>(Number(limits, "connIdle"));
-  config.answer_grace = static_cast<Micros>(Number(Member(settings, "invariants"), "graceToAnswer"));
-  for (const auto& c : config.settings.classes) {
-    config.longest_deadline = std::max(config.longest_deadline, c.client_timeout);
-  }
+  Number(Member(settings, "invariants"), "graceToAnswer");  // must be there; nothing depends on its value
   config.known = ReadList(Member(root, "known"), config.names);
   config.known.kind = EndpointList::Kind::kCached;
   return config;
--- a/src/config/platform_config.hpp
+++ b/src/config/platform_config.hpp
@@ -41,8 +41,6 @@
   Names names;
   Micros dial_timeout = 0;
   Micros idle_timeout = 0;
-  Micros longest_deadline = 0;
-  Micros answer_grace = 0;
 };
 
 Config ParseConfig(std::string_view json);  // throws ConfigError
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -17,20 +17,30 @@
 
 void GracefulShutdown::Begin() {
   has_begun_ = true;
+  begun_at_ = components_.loop.EventsSince();
   components_.log.Info("leaving: shutting down with %zu open requests and %zu client connections",
                        components_.dispatcher.open_requests(), components_.listener.connections());
-  const Micros longest_deadline = std::min(components_.config.longest_deadline, kMaxDeadline);
-  answer_by_ = components_.loop.Now() + longest_deadline + kAnswerAfterDeadline;
-  components_.listener.Drain(answer_by_);
+  UpdateAnswerTime();
   if (components_.membership) components_.membership->Leave();
   // With an inherited socket, a successor is already accepting clients.
   if (components_.listener.inherited()) components_.listener.StopAccepting();
   timer_.Set(kAcceptTime, [this] { CheckFinished(); });
 }
 
+// The platform counts the classes of the configuration in force, and a reload may drop one while the shutdown
+// runs. The time is never extended.
+void GracefulShutdown::UpdateAnswerTime() {
+  const Micros longest_deadline = std::min(components_.dispatcher.classes().longest_timeout(), kMaxDeadline);
+  const Micros answer_by = begun_at_ + longest_deadline + kAnswerAfterDeadline;
+  if (answer_by_ != 0 && answer_by >= answer_by_) return;
+  answer_by_ = answer_by;
+  components_.listener.Drain(answer_by_);
+}
+
 // Requests that are still open at answer_by_ because of a later deadline are answered then, since the process
 // may be killed afterwards.
 void GracefulShutdown::CheckFinished() {
+  UpdateAnswerTime();
   components_.listener.Close();
   const Micros now = components_.loop.Now();
   if (now >= answer_by_) components_.dispatcher.EndOpenRequests();
--- a/src/proxy/graceful_shutdown.hpp
+++ b/src/proxy/graceful_shutdown.hpp
@@ -20,6 +20,7 @@
   void Begin();
 
  private:
+  void UpdateAnswerTime();
   void CheckFinished();
   bool IsFinished() const;
 
@@ -27,7 +28,8 @@
   const DrainStateStorage& drain_state_;
   Timer timer_;
   bool has_begun_ = false;
-  Micros answer_by_ = 0;  // on the event loop's clock
+  Micros begun_at_ = 0;   // when SIGTERM may have come, on the event loop's clock
+  Micros answer_by_ = 0;  // on the same clock; 0: not begun
 };
 
 }  // namespace dappletiller
--- a/tests/http/parser_test.cpp
+++ b/tests/http/parser_test.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/platform_config.hpp"
+#include "dispatch/request_classes.hpp"
 #include "http/text.hpp"
 #include "http/writer.hpp"
 #include "io/output_buffer.hpp"
@@ -245,7 +246,9 @@
   CHECK(c.settings.endpoints_on_request);
   CHECK(c.dial_timeout == 250'000);
   CHECK(c.idle_timeout == 15'000'000);
-  CHECK(c.longest_deadline == 4'000'000);
+  RequestClasses classes;
+  for (std::size_t i = 0; i < c.classes.size(); ++i) classes.Set({c.classes[i], c.settings.classes[i]});
+  CHECK(classes.longest_timeout() == 4'000'000);
 }
 
 // The proxy must not start with an incomplete configuration; the error is reported in one line.
--- a/tests/net/reload_test.cpp
+++ b/tests/net/reload_test.cpp
@@ -72,6 +72,17 @@
     });
   }
 
+  Program& program() { return program_; }
+  std::uint16_t port() const { return port_; }
+
+  // What the first server that has the request was told.
+  Micros StatedTimeoutOf(const std::string& id) {
+    TestConnection* at = Find(one, id);
+    if (at == nullptr) at = Find(two, id);
+    REQUIRE(at != nullptr);
+    return StatedTimeout(at->text);
+  }
+
   // Servers that have the request and have not answered it.
   int CountWaiting(const std::string& id) {
     return static_cast<int>(Find(one, id) != nullptr) + static_cast<int>(Find(two, id) != nullptr);
@@ -143,6 +154,37 @@
   CHECK(proxy.CountWaiting("a1") == 0);
 }
 
+// SIGKILL comes the longest deadline of the configuration in force and 0.7 s after SIGTERM.
+TEST_CASE("a shutdown after a reload plans with the longest deadline of the start") {
+  const std::string kept = R"({"name":"check","aim":800000,"giveUp":1500000,"effect":"free"})";
+  const std::string dropped = R"({"name":"report","aim":1500000,"giveUp":4000000,"effect":"free"})";
+  constexpr Micros kKillAfter = 2'200 * kMs;
+  ReloadedProxy proxy({.classes = kept + "," + dropped});
+  EventLoop& clock = proxy.fixture.loop;
+  Micros term_at = 0;
+  SUBCASE("before SIGTERM") {
+    proxy.Reload({.classes = kept});
+    term_at = clock.Now();
+    proxy.program().Signal(SIGTERM);
+  }
+  SUBCASE("after SIGTERM") {
+    term_at = clock.Now();
+    proxy.program().Signal(SIGTERM);
+    proxy.Reload({.classes = kept});
+  }
+  TestConnection client = TestConnection::Connect(proxy.port());
+  const std::string request = SafeRequest("late");
+  client.Send(request.substr(0, 20));
+  while (clock.Now() < term_at + 1'400 * kMs) clock.RunOnce(5 * kMs);
+  const Micros sent_at = clock.Now();
+  client.Send(request.substr(20));
+  proxy.fixture.WaitUntil("a server has the request", [&] { return proxy.CountWaiting("late") == 1; });
+  const Micros stated = proxy.StatedTimeoutOf("late");
+  CHECK(stated <= term_at + kKillAfter - sent_at);
+  proxy.fixture.WaitForData(client, "HTTP/1.1 50");
+  CHECK(proxy.program().Wait() == 0);
+}
+
 TEST_CASE("a reload back to the settings of the start is skipped") {
   const std::string other = "," + GuardedClass("save", "zone", "6000000");
   const std::string free = ReloadConfig().classes + other;
