Let a reload reach everything that was copied from the configuration

Operators: SIGHUP left discovery's poll interval and hardware kinds, tenants and their quotas, and the idle time of connections that were idle already as they were at the start, without a word. Now ProxyComponents::config is the configuration in force, except for what needs a restart, and the log says when the file differs in that.

Measured: "a reload does not reach the connections that are idle already" failed on the build before (closed after 9.0 s), and passes. Tenants, poll interval and kinds have no test of their own.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -76,6 +76,12 @@
   return options_.pushed ? wait + kPushedAnswerTime : RetrySchedule::ResponseTimeout(wait);
 }
 
+void DiscoveryClient::Reconfigure(const DiscoveryOptions& options) {
+  options_.names = options.names;
+  options_.poll_interval = options.poll_interval;
+  if (!(options.address == options_.address)) MoveTo(options.address, options.host);
+}
+
 // The long poll continues at the new address immediately, without the backoff of the old one.
 void DiscoveryClient::MoveTo(const Endpoint& address, std::string host) {
   options_.address = address;
--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -42,6 +42,8 @@
   void Watch() override;
   // Requests a snapshot of the list.
   void Fetch() override;
+  // Takes over the address, the names and the poll interval of a changed configuration.
+  void Reconfigure(const DiscoveryOptions& options);
   // Continues at another address, starting with a snapshot: versions there may have another meaning.
   void MoveTo(const Endpoint& address, std::string host);
 
--- a/src/proxy/components.cpp
+++ b/src/proxy/components.cpp
@@ -31,6 +31,7 @@
       listener(loop, log, dispatcher, descriptors, MakeListenerOptions(config, long_bodies)),
       discovery(loop, log, dispatcher, MakeDiscoveryOptions(config)) {
   dispatcher.Connect(upstream, discovery);
+  config.settings_text.clear();  // only the scale runs compare it
   if (operator_path.empty()) return;
   operators::OperatorFile file = operators::LoadOperatorFile(operator_path);
   log.Configure(file.log_json ? Log::Format::kJson : Log::Format::kText, Log::ParseLevel(file.log_level));
--- a/src/proxy/reload.cpp
+++ b/src/proxy/reload.cpp
@@ -2,9 +2,13 @@
 
 #include <exception>
 #include <optional>
+#include <set>
+#include <string>
+#include <string_view>
 #include <system_error>
 #include <utility>
 
+#include "config_feed/values.hpp"
 #include "io/transient_error.hpp"
 #include "proxy/environment.hpp"
 #include "proxy/options.hpp"
@@ -38,32 +42,56 @@
   return files;
 }
 
-// What a running process cannot take over.
-bool NeedsRestart(const Config& in_use, const Config& loaded) {
-  const balancer::Settings& now = in_use.settings;
-  const balancer::Settings& then = loaded.settings;
-  return !(loaded.listen == in_use.listen) || loaded.name != in_use.name ||
-         loaded.names.zones != in_use.names.zones || then.zone != now.zone ||
-         then.endpoints_on_request != now.endpoints_on_request || then.clock_step != now.clock_step;
+// Puts what is in use in the place of what a running process cannot take over. Returns whether any of it
+// differs.
+bool KeepUntilRestart(const Config& in_use, Config* loaded) {
+  bool differs = false;
+  auto keep = [&differs](const auto& kept, auto* replaced) {
+    if (!(kept == *replaced)) differs = true;
+    *replaced = kept;
+  };
+  keep(in_use.name, &loaded->name);
+  keep(in_use.listen, &loaded->listen);
+  keep(in_use.console, &loaded->console);
+  keep(in_use.names.zones, &loaded->names.zones);
+  keep(in_use.settings.zone, &loaded->settings.zone);
+  keep(in_use.settings.zones, &loaded->settings.zones);
+  keep(in_use.settings.endpoints_on_request, &loaded->settings.endpoints_on_request);
+  keep(in_use.settings.clock_step, &loaded->settings.clock_step);
+  return differs;
 }
 
-void ReloadSettings(const Config& config, ProxyComponents* components) {
-  components->dispatcher.ApplySettings(config.settings, config.classes);
-  if (components->feed) components->feed->applier.ReapplyClasses();
+void ReloadTenants(const Config& before, const Config& now, ProxyComponents* components) {
+  if (before.tenants == now.tenants && before.settings.tenants == now.settings.tenants) return;
+  const std::set<std::string_view> listed(now.tenants.begin(), now.tenants.end());
+  for (const std::string& name : before.tenants) {
+    if (listed.count(name) != 0) continue;
+    const int index = components->listener.RemoveTenant(name);
+    if (index >= 0) components->dispatcher.SetTenant(index, false, {});
+  }
+  for (std::size_t i = 0; i < now.tenants.size() && i < now.settings.tenants.size(); ++i) {
+    const int index = components->listener.AddTenant(now.tenants[i]);
+    components->dispatcher.SetTenant(index, true, now.settings.tenants[i]);
+  }
+  if (components->feed) components->feed->applier.Reapply(config_feed::kTenantKind);
 }
 
-void ReloadConfig(const Config& config, ProxyComponents* components) {
-  const bool needs_restart = NeedsRestart(components->config, config);
+void ReloadConfig(Config config, ProxyComponents* components) {
+  const bool needs_restart = KeepUntilRestart(components->config, &config);
   const bool discovery_moves = !(config.discovery == components->config.discovery);
-  components->descriptors.Resize(ConnectionLimit(config), ReservedForClients(config));
-  components->listener.SetConnectionSlots(ClientConnectionSlots(config));
-  components->upstream.SetLimits(MakeUpstreamLimits(config));
-  if (discovery_moves) components->discovery.MoveTo(config.discovery, config.discovery_text);
-  ReloadSettings(config, components);
+  const Config before = std::exchange(components->config, std::move(config));
+  const Config& now = components->config;
+  components->descriptors.Resize(ConnectionLimit(now), ReservedForClients(now));
+  components->listener.SetConnectionSlots(ClientConnectionSlots(now));
+  components->upstream.SetLimits(MakeUpstreamLimits(now));
+  components->discovery.Reconfigure(MakeDiscoveryOptions(now));
+  components->dispatcher.ApplySettings(now.settings, now.classes);
+  if (components->feed) components->feed->applier.Reapply(config_feed::kClassKind);
+  ReloadTenants(before, now, components);
   components->log.Important(
       "reload: done, discovery %s %s%s", discovery_moves ? "moves to" : "stays at",
-      config.discovery_text.c_str(),
-      needs_restart ? "; the name, listen address, zones, registryMode or tick need a restart" : "");
+      now.discovery_text.c_str(),
+      needs_restart ? "; the name, addresses, zones, registryMode or tick need a restart" : "");
 }
 
 // Changes the scope or the servers. The current settings stay in force until the new scope is complete.
@@ -92,10 +120,8 @@
 void Reload(ProxyComponents* components) {
   auto files = LoadFiles(*components);
   if (!files) return;
-  ReloadConfig(files->config, components);
+  ReloadConfig(std::move(files->config), components);
   if (!components->operator_path.empty()) ReloadOperatorFile(std::move(files->operator_file), components);
-  // The module goes on with the settings, and the listener with the address, that they have.
-  components->config.discovery = files->config.discovery;
 }
 
 }  // namespace dappletiller
--- a/src/proxy/reload.hpp
+++ b/src/proxy/reload.hpp
@@ -7,8 +7,9 @@
 
 namespace dappletiller {
 
-// Reads both files anew. What the decision module was made with, and the address that clients know, change
-// only with a restart; the log says so. A file that is at fault changes nothing, and is logged. Throws
+// Reads both files anew; the configuration read then is ProxyComponents::config. The name, the addresses that
+// others know, the zones, how discovery is followed and the clock's step change only with a restart; the log
+// says so. A file that is at fault changes nothing, and is logged. Throws
 // std::system_error, with nothing changed, if a file cannot be read for now.
 void Reload(ProxyComponents* components);
 
--- a/src/proxy/settings_applier.cpp
+++ b/src/proxy/settings_applier.cpp
@@ -27,12 +27,12 @@
   }
 }
 
-void SettingsApplier::ReapplyClasses() {
-  std::vector<config_feed::Change> classes;
+void SettingsApplier::Reapply(std::string_view kind) {
+  std::vector<config_feed::Change> entries;
   follower_.store().ForEach([&](const std::string& key, const std::string& value) {
-    if (config_feed::ParseKey(key)->kind == config_feed::kClassKind) classes.push_back({key, value, 0});
+    if (config_feed::ParseKey(key)->kind == kind) entries.push_back({key, value, 0});
   });
-  OnSettingsChanged(classes);
+  OnSettingsChanged(entries);
 }
 
 void SettingsApplier::ApplyTenant(const config_feed::EffectiveEntry& entry) {
--- a/src/proxy/settings_applier.hpp
+++ b/src/proxy/settings_applier.hpp
@@ -5,6 +5,7 @@
 #define DAPPLETILLER_PROXY_SETTINGS_APPLIER_HPP_
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config_feed/client/feed_client.hpp"
@@ -26,8 +27,9 @@
 
   // Costs by the names that the changes touch.
   void OnSettingsChanged(const std::vector<config_feed::Change>& changes) override;
-  // Applies all classes anew, after a reload has set them from the configuration: the feed goes before it.
-  void ReapplyClasses();
+  // Applies all entries of a kind anew, after a reload has set them from the configuration: the feed goes
+  // before it.
+  void Reapply(std::string_view kind);
 
  private:
   void ApplyTenant(const config_feed::EffectiveEntry& entry);
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -324,8 +324,21 @@
   returned.idle_since = loop_.Now();
   it->second.idle.push_back(std::move(connection));
   returned.position = std::prev(it->second.idle.end());
-  returned.timer.Set(limits_.idle_timeout * kIdleTimeoutNumerator / kIdleTimeoutDenominator,
-                     [this, &returned] { CloseIdle(returned); });
+  StartIdleTimeout(returned);
+}
+
+void UpstreamPool::StartIdleTimeout(Connection& connection) {
+  const Micros close_at =
+      connection.idle_since + limits_.idle_timeout * kIdleTimeoutNumerator / kIdleTimeoutDenominator;
+  connection.timer.Set(std::max<Micros>(0, close_at - loop_.Now()),
+                       [this, &connection] { CloseIdle(connection); });
+}
+
+void UpstreamPool::SetLimits(const UpstreamLimits& limits) {
+  limits_ = limits;
+  for (auto& [server, pool] : pools_) {
+    for (const std::unique_ptr<Connection>& connection : pool.idle) StartIdleTimeout(*connection);
+  }
 }
 
 void UpstreamPool::CloseIdle(Connection& connection) {
--- a/src/upstream/upstream_pool.hpp
+++ b/src/upstream/upstream_pool.hpp
@@ -37,7 +37,8 @@
   void StopUsing(ServerId server) override;
   void Remove(ServerId server) override;
 
-  void SetLimits(const UpstreamLimits& limits) { limits_ = limits; }
+  // Binds idle connections too.
+  void SetLimits(const UpstreamLimits& limits);
   std::size_t pools() const { return pools_.size(); }
   std::size_t connections() const { return count_; }
 
@@ -59,6 +60,7 @@
   bool CloseOneIdle();
   void Finish(Connection& connection, AttemptOutcome end, PayloadRef response);
   void ReturnToPool(std::unique_ptr<Connection> connection);
+  void StartIdleTimeout(Connection& connection);
   void CloseIdle(Connection& connection);
   void Discard(std::unique_ptr<Connection> connection);
 
--- a/tests/net/reload_test.cpp
+++ b/tests/net/reload_test.cpp
@@ -14,6 +14,7 @@
   std::string classes = R"({"name":"check","aim":4000000,"giveUp":20000000,"effect":"free"})";
   std::string max_attempts = "5";
   std::string discovery = "127.0.0.1:1";
+  std::string idle_time = "15000000";
 };
 
 std::string GuardedClass(const std::string& name, const std::string& group, const std::string& window) {
@@ -35,7 +36,8 @@
          R"(],"registryMode":"push","tick":5000,"invariants":{"askEvery":10000000,"cold":22000000,
          "fall":2000000,"startCapacity":0.13,"tipMultiple":2.5,"graceToAnswer":20000},
          "limits":{"maxAttempts":)" +
-         config.max_attempts + R"(,"mayCancel":true,"dialTimeout":250000,"connIdle":15000000}}})";
+         config.max_attempts + R"(,"mayCancel":true,"dialTimeout":250000,"connIdle":)" + config.idle_time +
+         "}}}";
 }
 
 // A proxy with two servers, which is told to read a changed configuration.
@@ -154,6 +156,18 @@
   CHECK(proxy.CountWaiting("a1") == 0);
 }
 
+TEST_CASE("a reload does not reach the connections that are idle already") {
+  ReloadedProxy proxy;
+  TestConnection client = proxy.Request(SafeRequest("a1"));
+  proxy.AnswerFirst("a1", Response(200, "safe"));
+  proxy.fixture.WaitForData(client, "safe");
+  proxy.Reload({.idle_time = "100000"});
+  const Micros reloaded_at = proxy.fixture.loop.Now();
+  TestServer& used = proxy.one.connections.empty() ? proxy.two : proxy.one;
+  proxy.fixture.WaitUntil("the connection is closed", [&] { return used.connections.front().IsClosed(); });
+  CHECK(proxy.fixture.loop.Now() - reloaded_at < 5'000 * kMs);
+}
+
 // SIGKILL comes the longest deadline of the configuration in force and 0.7 s after SIGTERM.
 TEST_CASE("a shutdown after a reload plans with the longest deadline of the start") {
   const std::string kept = R"({"name":"check","aim":800000,"giveUp":1500000,"effect":"free"})";
