Wait for calls under way when discovery moves again

Cause: MoveTo cancelled it always. Up to two calls at former addresses are now waited for until the new address has answered; their lists count, versions and watch are the new address's.

Measured: the new test passes; it was not run on the build before, whose MoveTo closes the connection at once.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -1,5 +1,6 @@
 #include "discovery/discovery_client.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -14,6 +15,10 @@
 constexpr Micros kPushedAnswerTime = 500'000;
 constexpr Micros kPushedRetryInterval = 100'000;
 
+// Requests at former addresses that are still waited for: with configurations in quick succession and a slow
+// discovery, none would be answered if each move dropped the request under way.
+constexpr std::size_t kMaxPrevious = 2;
+
 constexpr const char* kListTarget = "/discovery/hosts";
 constexpr int kOk = 200;
 
@@ -42,7 +47,7 @@
       options_(std::move(options)),
       version_(options_.version),
       random_(options_.seed),
-      long_poll_(*this, Kind::kLongPoll),
+      long_poll_(std::make_unique<Connection>(*this, Kind::kLongPoll)),
       fetch_(*this, Kind::kFetch),
       retry_(loop) {}
 
@@ -53,7 +58,7 @@
 // The first request of a long poll has no wait, so that the module soon receives the current list. A request
 // already in progress has the same effect.
 void DiscoveryClient::Watch() {
-  if (!retry_.set()) Send(0, &long_poll_);
+  if (!retry_.set()) Send(0, long_poll_.get());
 }
 
 void DiscoveryClient::Fetch() { Send(0, &fetch_); }
@@ -89,12 +94,30 @@
   needs_snapshot_ = true;
   long_poll_failures_ = 0;
   retry_.Clear();
-  // A response from the old address may still be on its way.
-  long_poll_.Cancel();
+  KeepOrCancelLongPoll();
   fetch_.Cancel();
   Watch();
 }
 
+// The oldest requests are kept: they are answered first, and each ends within its timeout.
+void DiscoveryClient::KeepOrCancelLongPoll() {
+  if (!long_poll_->is_busy() || previous_.size() == kMaxPrevious) {
+    long_poll_->Cancel();
+    return;
+  }
+  long_poll_->BecomePrevious();
+  previous_.push_back(std::exchange(long_poll_, std::make_unique<Connection>(*this, Kind::kLongPoll)));
+}
+
+void DiscoveryClient::DropPrevious(Connection* connection) {
+  const auto found = std::find_if(previous_.begin(), previous_.end(),
+                                  [connection](const auto& kept) { return kept.get() == connection; });
+  if (found == previous_.end()) return;
+  connection->Cancel();
+  loop_.DeferDelete(std::move(*found));
+  previous_.erase(found);
+}
+
 // ---- Responses ----
 
 void DiscoveryClient::OnResponse(Connection& connection, const http::Message& response) {
@@ -110,7 +133,15 @@
   OnList(connection, *list);
 }
 
-void DiscoveryClient::OnList(const Connection& connection, const EndpointList& list) {
+void DiscoveryClient::OnList(Connection& connection, const EndpointList& list) {
+  // The list in use is still the former address's, and so are its versions.
+  if (connection.kind() == Kind::kPrevious) {
+    while (previous_.front().get() != &connection) DropPrevious(previous_.front().get());
+    DropPrevious(&connection);
+    dispatcher_.OnEndpointUpdate(list);
+    return;
+  }
+  while (!previous_.empty()) DropPrevious(previous_.front().get());
   const bool is_long_poll = connection.kind() == Kind::kLongPoll;
   // A late response to a fetch must not undo changes that the long poll has delivered since.
   const bool is_old = !is_long_poll && !needs_snapshot_ && list.version < version_;
@@ -119,7 +150,7 @@
   if (is_long_poll) {
     long_poll_failures_ = 0;
     // Sent before the list is applied: it must be sent within 200 ms, however long that takes.
-    Send(LongPollTime(), &long_poll_);
+    Send(LongPollTime(), long_poll_.get());
   }
   if (!is_old) dispatcher_.OnEndpointUpdate(list);
 }
@@ -139,11 +170,15 @@
 void DiscoveryClient::OnSilentLongPoll() {
   ++dispatcher_.counters().discovery_failures;
   log_.Info("discovery: a watch failed: no response in time; reopening it");
-  Send(0, &long_poll_);
+  Send(0, long_poll_.get());
 }
 
-void DiscoveryClient::OnFailure(const Connection& connection, const char* why) {
+void DiscoveryClient::OnFailure(Connection& connection, const char* why) {
   ++dispatcher_.counters().discovery_failures;
+  if (connection.kind() == Kind::kPrevious) {
+    DropPrevious(&connection);
+    return;
+  }
   const bool is_long_poll = connection.kind() == Kind::kLongPoll;
   log_.Info("discovery: a %s failed: %s", is_long_poll ? "watch" : "fetch", why);
   if (is_long_poll) {
--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -7,8 +7,10 @@
 #define DAPPLETILLER_DISCOVERY_DISCOVERY_CLIENT_HPP_
 
 #include <cstdint>
+#include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "config/platform_config.hpp"
 #include "dispatch/request_dispatcher.hpp"
@@ -44,11 +46,13 @@
   void Fetch() override;
   // Takes over the address, the names and the poll interval of a changed configuration.
   void Reconfigure(const DiscoveryOptions& options);
-  // Continues at another address, starting with a snapshot: versions there may have another meaning.
+  // Continues at another address, starting with a snapshot: versions there may have another meaning. Up to
+  // kMaxPrevious requests that are under way are still waited for until the new address has answered.
   void MoveTo(const Endpoint& address, std::string host);
 
  private:
-  enum class Kind { kLongPoll, kFetch };
+  // kPrevious: a long poll that was under way at another address.
+  enum class Kind { kLongPoll, kFetch, kPrevious };
 
   // A connection to discovery with at most one request in progress.
   class Connection final : private http::Client::Owner {
@@ -58,6 +62,7 @@
     void Cancel() { client_.Close(); }
     bool is_busy() const { return client_.is_busy(); }
     Kind kind() const { return kind_; }
+    void BecomePrevious() { kind_ = Kind::kPrevious; }
     Micros wait() const { return wait_; }  // how long discovery may hold the last request
     Micros sent_at() const { return sent_at_; }
 
@@ -72,13 +77,15 @@
     Micros sent_at_ = 0;
   };
 
+  void KeepOrCancelLongPoll();
+  void DropPrevious(Connection* connection);
   void Send(Micros wait, Connection* connection);
   Micros LongPollTime() const;
   Micros ResponseTimeoutFor(Micros wait) const;
   void OnResponse(Connection& connection, const http::Message& response);
-  void OnList(const Connection& connection, const EndpointList& list);
+  void OnList(Connection& connection, const EndpointList& list);
   void OnRequestFailed(Connection& connection, http::RequestError error);
-  void OnFailure(const Connection& connection, const char* why);
+  void OnFailure(Connection& connection, const char* why);
   void OnSilentLongPoll();
   Micros BackoffAfterFailure(const Connection& long_poll);
 
@@ -90,9 +97,10 @@
   bool needs_snapshot_ = false;  // the known version is not from this address
   int long_poll_failures_ = 0;   // consecutive
   std::mt19937_64 random_;
-  Connection long_poll_;
+  std::unique_ptr<Connection> long_poll_;
   Connection fetch_;
-  Timer retry_;  // backoff of the long poll
+  std::vector<std::unique_ptr<Connection>> previous_;  // the oldest first
+  Timer retry_;                                        // backoff of the long poll
 };
 
 }  // namespace dappletiller
--- a/tests/discovery/discovery_test.cpp
+++ b/tests/discovery/discovery_test.cpp
@@ -178,6 +178,35 @@
   CHECK(Goes(fixture, server, server, "a1"));
 }
 
+// New configurations in quick succession, and a discovery that takes longer for each answer.
+TEST_CASE("moves of discovery in quick succession drop each request before its answer") {
+  ProxyFixture fixture(PollingSettings());
+  TestServer kept, draining, second, third;
+  fixture.SetEndpoints({&kept, &draining});
+  fixture.discovery.Watch();
+  WaitForDiscoveryRequest(fixture, First(41));
+  fixture.discovery.MoveTo(second.endpoint(), "discovery");
+  auto asks_for_snapshot = [&fixture](TestServer& at) {
+    fixture.WaitUntil("a snapshot is requested", [&] {
+      at.Accept();
+      return !at.connections.empty() &&
+             at.connections.back().HasReceived("GET /discovery/hosts HTTP/1.1\r\n");
+    });
+  };
+  asks_for_snapshot(second);
+  fixture.discovery.MoveTo(third.endpoint(), "discovery");
+  asks_for_snapshot(third);
+  second.connections.back().Send(Response(200, R"({"rev":3,"all":true,"targets":[)" + Entry(kept, "up") +
+                                                   "," + Entry(draining, "draining") + "]}"));
+  fixture.WaitUntil("the former discovery is left", [&] { return second.connections.back().IsClosed(); });
+  for (const char* id : {"a1", "a2", "a3", "a4"}) CHECK(Goes(fixture, kept, draining, id));
+  // The watch goes on at the newest address, by its versions.
+  third.connections.back().text.clear();
+  third.connections.back().Send(
+      Response(200, R"({"rev":9,"all":true,"targets":[)" + Entry(kept, "up") + "]}"));
+  fixture.WaitForData(third.connections.back(), "GET " + Waiting(9));
+}
+
 // While the first response is missing, the log must not report the age of a list.
 TEST_CASE("the traffic log line shows that discovery has not responded yet") {
   FILE* file = std::tmpfile();
