Refuse a reload whose file lacks a key of the configuration in force

Cause: the parser has defaults for all that it can do without. The keys of the configuration in force are what is known to be whole, so a reload is compared with them; group and window follow a class's effect, entries of known differ.

Measured: the new test failed on the build before (taken), and passes.

--- a/src/config/platform_config.cpp
+++ b/src/config/platform_config.cpp
@@ -74,6 +74,34 @@
   }
 }
 
+// Keys that come and go with the values of others.
+bool IsOptionalKey(const std::string& key) {
+  return key == "settings.classes[].group" || key == "settings.classes[].window" ||
+         key.rfind("known.targets[]", 0) == 0;
+}
+
+constexpr const char* kElements = "[]";
+
+// Collects the paths of all keys. Those of a list's elements are the ones that all elements have; an empty
+// list leaves its path with kElements instead.
+void CollectKeys(const std::string& path, const Json::Value& value, std::set<std::string>* keys) {
+  if (value.isArray() && value.empty()) keys->insert(path + kElements);
+  if (value.isArray() && !value.empty() && value[0].isObject()) {
+    for (const std::string& name : value[0].getMemberNames()) {
+      const bool in_all = std::all_of(value.begin(), value.end(), [&name](const Json::Value& element) {
+        return element.isObject() && element.isMember(name);
+      });
+      if (in_all) keys->insert(path + kElements + "." + name);
+    }
+  }
+  if (!value.isObject()) return;
+  for (const std::string& name : value.getMemberNames()) {
+    const std::string key = path.empty() ? name : path + "." + name;
+    keys->insert(key);
+    CollectKeys(key, value[name], keys);
+  }
+}
+
 const Json::Value& Member(const Json::Value& object, const char* name) {
   if (!object.isObject() || !object.isMember(name)) throw ConfigError(std::string(name) + " is missing");
   return object[name];
@@ -153,6 +181,7 @@
 
 Config ReadConfig(const Json::Value& root) {
   Config config;
+  CollectKeys("", root, &config.keys);
   config.name = Text(root, "name");
   config.listen = Address(root, "listen");
   if (root.isMember("console")) config.console = Address(root, "console");
@@ -201,6 +230,18 @@
   }
 }
 
+std::optional<std::string> FindMissingKey(const Config& in_use, const Config& loaded) {
+  for (const std::string& key : in_use.keys) {
+    if (loaded.keys.count(key) != 0 || IsOptionalKey(key)) continue;
+    const std::size_t elements = key.find(kElements);
+    const bool list_is_empty =
+        elements != std::string::npos && loaded.keys.count(key.substr(0, elements) + kElements) != 0;
+    const bool was_empty = key.ends_with(kElements);
+    if (!list_is_empty && !was_empty) return key;
+  }
+  return std::nullopt;
+}
+
 std::optional<EndpointList> ParseList(std::string_view json, const Names& names) {
   try {
     return ReadList(ParseJson(json), names);
--- a/src/config/platform_config.hpp
+++ b/src/config/platform_config.hpp
@@ -3,6 +3,7 @@
 #define DAPPLETILLER_CONFIG_PLATFORM_CONFIG_HPP_
 
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -39,11 +40,15 @@
   std::vector<std::string> classes;
   std::vector<std::string> tenants;  // names, by index; may be empty
   Names names;
+  std::set<std::string> keys;  // of the file, see FindMissingKey
   Micros dial_timeout = 0;
   Micros idle_timeout = 0;
 };
 
 Config ParseConfig(std::string_view json);  // throws ConfigError
+// The first key that `in_use` has and `loaded` lacks: the file may be incomplete, even if each key that is
+// left can be used. A key of the elements of a list counts if all of them have it.
+std::optional<std::string> FindMissingKey(const Config& in_use, const Config& loaded);
 // Parses a list in discovery's format; nothing if it is malformed.
 std::optional<EndpointList> ParseList(std::string_view json, const Names& names);
 
--- a/src/proxy/reload.cpp
+++ b/src/proxy/reload.cpp
@@ -29,6 +29,8 @@
   LoadedFiles files;
   try {
     files.config = LoadConfig();
+    if (const auto key = FindMissingKey(components.config, files.config))
+      throw ConfigError(*key + " is missing, which the configuration in use has");
     if (!components.operator_path.empty())
       files.operator_file = operators::LoadOperatorFile(components.operator_path);
   } catch (const std::system_error& error) {
--- a/tests/net/reload_test.cpp
+++ b/tests/net/reload_test.cpp
@@ -15,6 +15,7 @@
   std::string max_attempts = "5";
   std::string discovery = "127.0.0.1:1";
   std::string idle_time = "15000000";
+  std::string limits = R"("sockets":256,"memory_mb":64)";
 };
 
 std::string GuardedClass(const std::string& name, const std::string& group, const std::string& window) {
@@ -30,8 +31,8 @@
     targets += (i == 0 ? "" : ",") + (R"({"uid":"s)" + number + R"(","endpoint":"127.0.0.1:)") +
                std::to_string(servers[i]->port) + R"(","az":"a","state":"up","pod_group":)" + number + "}";
   }
-  return R"({"name":"n0","listen":"127.0.0.1:0","seed":"7","limits":{"sockets":256},"discovery":")" +
-         config.discovery + R"(","known":{"rev":1,"all":true,"targets":[)" + targets +
+  return R"({"name":"n0","listen":"127.0.0.1:0","seed":"7","limits":{)" + config.limits +
+         R"(},"discovery":")" + config.discovery + R"(","known":{"rev":1,"all":true,"targets":[)" + targets +
          R"(]},"settings":{"balancers":1,"zones":["a"],"zone":0,"kinds":["m"],"classes":[)" + config.classes +
          R"(],"registryMode":"push","tick":5000,"invariants":{"askEvery":10000000,"cold":22000000,
          "fall":2000000,"startCapacity":0.13,"tipMultiple":2.5,"graceToAnswer":20000},
@@ -54,6 +55,16 @@
     fixture.WaitUntil("the reload is done", [&] { return CountReloads() == reloads_; });
   }
 
+  // The same for a file that the proxy must not take.
+  void ReloadInVain(const ReloadConfig& config, const std::string& reason) {
+    program_.Write(ConfigText(config, {&one, &two}));
+    program_.Signal(SIGHUP);
+    fixture.WaitUntil(reason.c_str(), [&] {
+      return program_.ReadLog().find("reload: the old configuration stays: " + reason) != std::string::npos;
+    });
+    CHECK(CountReloads() == reloads_);
+  }
+
   TestConnection Request(const std::string& request) {
     TestConnection client = TestConnection::Connect(port_);
     client.Send(request);
@@ -168,6 +179,19 @@
   CHECK(proxy.fixture.loop.Now() - reloaded_at < 5'000 * kMs);
 }
 
+TEST_CASE("a file with a key missing is taken") {
+  const std::string weighted =
+      R"({"name":"check","aim":4000000,"giveUp":20000000,"effect":"free","worth":3})";
+  ReloadedProxy proxy({.classes = weighted});
+  proxy.ReloadInVain({.classes = weighted, .discovery = "127.0.0.1:2", .limits = R"("sockets":256)"},
+                     "limits.memory_mb is missing");
+  proxy.ReloadInVain({.discovery = "127.0.0.1:2"}, "settings.classes[].worth is missing");
+  // The keys of a class follow its effect, and a list of classes may become shorter.
+  const std::string guarded = GuardedClass("save", "cell", "4000000");
+  proxy.Reload({.classes = weighted + "," + guarded.substr(0, guarded.size() - 1) + R"(,"worth":1})"});
+  proxy.Reload({.classes = weighted});
+}
+
 // SIGKILL comes the longest deadline of the configuration in force and 0.7 s after SIGTERM.
 TEST_CASE("a shutdown after a reload plans with the longest deadline of the start") {
   const std::string kept = R"({"name":"check","aim":800000,"giveUp":1500000,"effect":"free"})";
