Share administrative drains between the processes of an upgrade

Cause: the successor read the state file once, and each process rewrote it whole. The file is now the state of all processes: changes are merged into it under a lock, and each process adopts those of others, the old one too.

Where there is no folder at all it is given as before, which the golden file of console answers holds. Times in the file no longer depend on the wall clock of either process.

--- a/src/admin/console.cpp
+++ b/src/admin/console.cpp
@@ -2,8 +2,12 @@
 
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
+#include <optional>
+#include <string>
 #include <system_error>
+#include <utility>
 
 #include "http/parser.hpp"
 #include "http/writer.hpp"
@@ -15,22 +19,27 @@
 
 constexpr int kBacklog = 64;
 constexpr Micros kAcceptRetryDelay = 50'000;
+constexpr Micros kCommandRetryDelay = 10'000;  // while a command is not finished
 
 }  // namespace
 
 class Console::Connection final : public StreamSocket::Callbacks {
  public:
   Connection(Console& console, std::uint64_t id)
-      : socket(console.loop_, *this), console_(console), id_(id), timer_(console.loop_) {
-    timer_.Set(kConnectionTime, [this] { Finish(408, "the call took too long to arrive"); });
+      : socket(console.loop_, *this),
+        console_(console),
+        id_(id),
+        timer_(console.loop_),
+        command_retry_(console.loop_) {
+    timer_.Set(kConnectionTime, [this] { OnTimeout(); });
   }
 
   std::span<char> ReceiveBuffer() override {
-    return answered_ ? std::span<char>(sink_) : parser_.ReceiveBuffer();
+    return answered_ || command_ ? std::span<char>(sink_) : parser_.ReceiveBuffer();
   }
 
   void OnReceived(std::size_t n) override {
-    if (answered_) return;
+    if (answered_ || command_) return;
     parser_.Commit(n);
     if (parser_.bad()) return Finish(parser_.error_status(), "the call is malformed or too large");
     if (parser_.wants_continue())
@@ -39,8 +48,8 @@
     http::MessageRef request = parser_.TakeMessage();
     console::Command command = console::Read(request->method(), request->target());
     if (command.status != 0) return Finish(command.status, command.reason);
-    ConsoleReply reply = console_.handler_.Do(command);
-    Finish(reply.status, reply.text, reply.type);
+    command_ = std::move(command);
+    Execute();
   }
 
   void OnFlushed() override {
@@ -48,12 +57,31 @@
   }
   void OnClosed(StreamEnd) override { console_.Drop(id_); }
 
+  void Close() {
+    timer_.Clear();
+    command_retry_.Clear();
+    socket.Close();
+  }
+
   StreamSocket socket;
 
  private:
+  void Execute() {
+    const ConsoleReply reply = console_.handler_.Do(*command_);
+    if (reply.status != ConsoleReply::kNotYet) return Finish(reply.status, reply.text, reply.type);
+    unfinished_reason_ = reply.text;
+    command_retry_.Set(kCommandRetryDelay, [this] { Execute(); });
+  }
+
+  void OnTimeout() {
+    if (command_) return Finish(503, unfinished_reason_);
+    Finish(408, "the call took too long to arrive");
+  }
+
   void Finish(int status, std::string_view text, std::string_view type = "text/plain") {
     if (answered_) return;
     answered_ = true;
+    command_retry_.Clear();
     if (status >= 400) {
       console_.log_.Info("console: %d: %.*s", status, static_cast<int>(text.size()), text.data());
     }
@@ -66,6 +94,9 @@
   Console& console_;
   std::uint64_t id_;
   Timer timer_;
+  Timer command_retry_;
+  std::optional<console::Command> command_;  // received whole
+  std::string unfinished_reason_;
   http::Parser parser_{http::Parser::Kind::kRequest};
   std::array<char, 512> sink_{};
   bool answered_ = false;
@@ -111,7 +142,7 @@
   if (it == connections_.end()) return;
   std::unique_ptr<Connection> owned = std::move(it->second);
   connections_.erase(it);
-  owned->socket.Close();
+  owned->Close();
   loop_.DeferDelete(std::move(owned));
 }
 
--- a/src/admin/console.hpp
+++ b/src/admin/console.hpp
@@ -18,13 +18,18 @@
 namespace dappletiller {
 
 struct ConsoleReply {
-  int status = 200;  // HTTP status
+  // As status: the command is not finished. It is executed again soon, and fails with `text` if it is not
+  // finished when the client's time is over.
+  static constexpr int kNotYet = 0;
+
+  int status = 200;  // HTTP status, or kNotYet
   std::string text;  // one line of text, or JSON
   const char* type = "text/plain";
 };
 
 class ConsoleHandler {
  public:
+  // Commands are idempotent.
   virtual ConsoleReply Do(const console::Command& command) = 0;
 
  protected:
--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -337,6 +337,16 @@
   return true;
 }
 
+void RequestDispatcher::AdoptDrains(const drain::AdministrativeDrains& drains) {
+  const std::set<std::string> changed = drains_.DifferencesTo(drains);
+  drains_ = drains;
+  for (const std::string& uid : changed) {
+    log_.Info("server %s %s according to the drain state", uid.c_str(),
+              drains_.IsDrained(uid) ? "drained" : "undrained");
+    ReapplyEndpoint(uid);
+  }
+}
+
 // Passes the server's last listed state to the module again, combined with the administrative drains.
 void RequestDispatcher::ReapplyEndpoint(const std::string& uid) {
   auto it = servers_by_uid_.find(uid);
--- a/src/dispatch/request_dispatcher.hpp
+++ b/src/dispatch/request_dispatcher.hpp
@@ -69,9 +69,10 @@
   // through slow start. False: discovery has never listed the server. Both are idempotent.
   bool Drain(const std::string& uid);
   bool Undrain(const std::string& uid);
-  // For the state file that passes the drains on to a successor process.
+  // For the state file that all processes of this proxy share.
   const drain::AdministrativeDrains& drains() const { return drains_; }
-  void RestoreDrains(drain::AdministrativeDrains drains) { drains_ = std::move(drains); }
+  // From another process of this proxy: takes over its drains. Servers whose drain differs are updated.
+  void AdoptDrains(const drain::AdministrativeDrains& drains);
 
   // Counters for the log line that is written once a second while there is traffic. Other parts add theirs.
   TrafficCounters& counters();
--- a/src/drain/administrative_drains.hpp
+++ b/src/drain/administrative_drains.hpp
@@ -32,6 +32,9 @@
   // The effective start time of a server that started at `listed` according to discovery (epoch: long ago).
   TimePoint EffectiveStart(const std::string& uid, TimePoint listed) const;
 
+  // The servers that are not in the same state in `other`.
+  std::set<std::string> DifferencesTo(const AdministrativeDrains& other) const;
+
   const std::set<std::string>& drained() const { return drained_; }
   const std::map<std::string, TimePoint>& undrained_at() const { return undrained_at_; }
 
--- a/src/drain/drain_state_file.cpp
+++ b/src/drain/drain_state_file.cpp
@@ -2,6 +2,7 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -12,6 +13,7 @@
 
 constexpr const char* kFormat = "dappletiller-held";
 constexpr int kVersion = 1;
+constexpr const char* kMonotonicTimes = "back_monotonic";
 
 bool HasSupportedFormat(const Json::Value& root) {
   const Json::Value& format = root["format"];
@@ -39,22 +41,35 @@
   return read;
 }
 
+// A time in the future would be of another clock: the server then starts slowly from now on.
+void ConvertTimes(const std::map<std::string, TimePoint>& monotonic, const MachineClock& clock,
+                  std::map<std::string, TimePoint>* times) {
+  for (auto& [uid, at] : *times) {
+    const auto found = monotonic.find(uid);
+    if (found != monotonic.end()) at = found->second + clock.ahead_of_monotonic;
+    at = std::min(at, clock.now);
+  }
+}
+
 }  // namespace
 
-std::string SerializeDrains(const AdministrativeDrains& drains) {
+std::string SerializeDrains(const AdministrativeDrains& drains, std::optional<MachineClock> clock) {
   Json::Value root(Json::objectValue);
   root["format"] = kFormat;
   root["version"] = kVersion;
   root["held"] = Json::Value(Json::arrayValue);
   for (const std::string& uid : drains.drained()) root["held"].append(uid);
   root["back"] = Json::Value(Json::objectValue);
-  for (const auto& [uid, at] : drains.undrained_at()) root["back"][uid] = Json::Int64(ToMicros(at));
+  for (const auto& [uid, at] : drains.undrained_at()) {
+    root["back"][uid] = Json::Int64(ToMicros(at));
+    if (clock) root[kMonotonicTimes][uid] = Json::Int64(ToMicros(at - clock->ahead_of_monotonic));
+  }
   Json::StreamWriterBuilder writer;
   writer["indentation"] = "";
   return Json::writeString(writer, root);
 }
 
-std::optional<AdministrativeDrains> ParseDrains(std::string_view json) {
+std::optional<AdministrativeDrains> ParseDrains(std::string_view json, std::optional<MachineClock> clock) {
   const Json::CharReaderBuilder builder;
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value root;
@@ -64,6 +79,11 @@
   auto drained = ReadNames(root["held"]);
   auto undrained_at = ReadTimes(root["back"]);
   if (!drained || !undrained_at) return std::nullopt;
+  if (clock) {
+    const auto monotonic = ReadTimes(root.get(kMonotonicTimes, Json::Value(Json::objectValue)));
+    if (!monotonic) return std::nullopt;
+    ConvertTimes(*monotonic, *clock, &*undrained_at);
+  }
   return AdministrativeDrains(std::move(*drained), std::move(*undrained_at));
 }
 
--- a/src/io/event_loop.hpp
+++ b/src/io/event_loop.hpp
@@ -39,6 +39,9 @@
   // Monotonic microseconds. The clock starts as Unix time, so it can be compared with Unix times.
   Micros Now() const;
 
+  // What Now() is ahead of the machine's monotonic clock, which all processes share.
+  Micros unix_offset() const { return unix_offset_; }
+
   // The earliest time at which the events that are being delivered may have occurred. Earlier than Now() if
   // the last round took long: what arrives meanwhile is reported after it.
   Micros EventsSince() const { return events_since_; }
--- a/src/io/file.cpp
+++ b/src/io/file.cpp
@@ -1,6 +1,8 @@
 #include "io/file.hpp"
 
 #include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
@@ -77,6 +79,24 @@
   }
 }
 
+std::optional<FileVersion> ReadFileVersion(const std::string& path) {
+  struct stat status {};
+  if (::stat(path.c_str(), &status) != 0) return std::nullopt;
+  return FileVersion{status.st_ino, status.st_ctim.tv_sec, status.st_ctim.tv_nsec, status.st_size};
+}
+
+FileLock::FileLock(const std::string& path, std::error_code* error) : file_(Open(path, O_RDWR | O_CREAT)) {
+  if (!file_) {
+    *error = LastError();
+    return;
+  }
+  while (::flock(file_.get(), LOCK_EX | LOCK_NB) != 0) {
+    if (errno == EINTR) continue;
+    *error = LastError();
+    return;
+  }
+}
+
 std::error_code ReplaceFile(const std::string& path, std::string_view text) {
   const std::string temporary = path + "." + std::to_string(::getpid());
   if (const std::error_code error = WriteAndSync(temporary, text)) {
--- a/src/proxy/console_commands.cpp
+++ b/src/proxy/console_commands.cpp
@@ -44,15 +44,28 @@
 }
 
 ConsoleReply ConsoleCommands::DrainServer(const std::string& uid) {
+  storage_.Refresh();
+  const bool was_drained = components_.dispatcher.drains().IsDrained(uid);
   if (!components_.dispatcher.Drain(uid)) return UnknownServer();
-  storage_.Save(components_.dispatcher.drains());
-  return {200, "detached"};
+  if (!was_drained) storage_.Record({uid, DrainAction::kDrain, {}});
+  return ReplyWhenSaved("detached");
 }
 
 ConsoleReply ConsoleCommands::UndrainServer(const std::string& uid) {
+  storage_.Refresh();
+  const bool was_drained = components_.dispatcher.drains().IsDrained(uid);
   if (!components_.dispatcher.Undrain(uid)) return UnknownServer();
-  storage_.Save(components_.dispatcher.drains());
-  return {200, "attached"};
+  if (was_drained) {
+    const TimePoint undrained_at = components_.dispatcher.drains().undrained_at().at(uid);
+    storage_.Record({uid, DrainAction::kUndrain, undrained_at});
+  }
+  return ReplyWhenSaved("attached");
+}
+
+// A change that only this process knows could be lost with it.
+ConsoleReply ConsoleCommands::ReplyWhenSaved(const char* text) const {
+  if (storage_.confirmed()) return {200, text};
+  return {ConsoleReply::kNotYet, "in force here, but not saved yet; call again"};
 }
 
 ConsoleReply ConsoleCommands::DoFleet(const console::Command& command) {
--- a/src/proxy/console_commands.hpp
+++ b/src/proxy/console_commands.hpp
@@ -24,6 +24,7 @@
   ConsoleReply UndrainServer(const std::string& uid);
   ConsoleReply DoFleet(const console::Command& command);
   ConsoleReply ShowSettings() const;
+  ConsoleReply ReplyWhenSaved(const char* text) const;
 
   ProxyComponents& components_;
   DrainStateStorage& storage_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -30,7 +30,10 @@
   Proxy(Log& log, Config config, const std::string& operator_path)
       : components_(log, std::move(config), operator_path),
         signals_(components_.loop, *this),
-        drain_state_(components_.loop, log, components_.config.name),
+        drain_state_(components_.loop, log, components_.config.name,
+                     [this](const drain::AdministrativeDrains& drains) {
+                       components_.dispatcher.AdoptDrains(drains);
+                     }),
         commands_(components_, drain_state_),
         console_(components_.loop, log, commands_),
         shutdown_(components_, drain_state_),
@@ -41,8 +44,10 @@
   void Start() {
     Log& log = components_.log;
     signals_.Start();
-    if (auto drains = drain_state_.Load()) components_.dispatcher.RestoreDrains(std::move(*drains));
+    drain_state_.Load();
     components_.Start();
+    // With an inherited socket another process may serve beside this one, in an upgrade.
+    if (components_.listener.inherited()) drain_state_.FollowOtherProcesses();
     if (const auto where = ConsoleEndpoint(components_.config)) {
       console_.Listen(*where);
       log.Important("console on port %u", console_.port());
--- a/tests/fault_injection/process_fault_test.cpp
+++ b/tests/fault_injection/process_fault_test.cpp
@@ -262,6 +262,33 @@
   }
 }
 
+TEST_CASE("a drain that only this process knows is confirmed") {
+  char folder[] = "/tmp/dappletiller-state-XXXXXX";
+  REQUIRE(::mkdtemp(folder) != nullptr);
+  TestServer server;
+  Environment environment = WithFaults("rename:EIO:path=held.json,count=30");
+  environment.emplace_back("TMPDIR", folder);
+  environment.emplace_back("BALANCER_CONSOLE", "127.0.0.1:0");
+  Program program(ProgramConfig(0, server.port), environment);
+  ProxyFixture fixture;  // only for its bounded waits
+  std::uint16_t console = ReadPort(fixture, program, "console on port ");
+  auto detach = [&] {
+    TestConnection operators = TestConnection::Connect(console);
+    operators.Send("PUT /_plan-servers/detach?who=s HTTP/1.1\r\nHost: x\r\n\r\n");
+    fixture.WaitForData(operators, "HTTP/1.1 ");
+    return operators.HasReceived("HTTP/1.1 200 ");
+  };
+  auto is_in_file = [&] {
+    std::ifstream file(std::string(folder) + "/dappletiller-n0.held.json");
+    return std::string(std::istreambuf_iterator<char>(file), {}).find("[\"s\"]") != std::string::npos;
+  };
+  CHECK_FALSE(detach());  // the folder fails for longer than the operators wait
+  CHECK_FALSE(is_in_file());
+  fixture.WaitUntil("the drain is confirmed", [&] { return detach(); });
+  CHECK(is_in_file());
+  std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("a reload is dropped when its file cannot be read for a moment") {
   for (const std::string fault : {"open:ENFILE:path=config.json,skip=1,count=3", "read:EIO:skip=4,count=3"}) {
     CAPTURE(fault);
