--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -29,7 +29,8 @@
 DiscoveryClient::Connection::Connection(DiscoveryClient& discovery, Kind kind)
     : discovery_(discovery),
       kind_(kind),
-      client_(discovery.loop_, *this, http::kMaxEndpointListSize, http::Client::UnsizedResponses::kAccept) {}
+      client_(discovery.loop_, *this, discovery.options_.max_list_size,
+              http::Client::UnsizedResponses::kAccept) {}
 
 void DiscoveryClient::Connection::Send(const std::string& target, Micros wait, Micros timeout) {
   wait_ = wait;
--- a/src/discovery/discovery_client.hpp
+++ b/src/discovery/discovery_client.hpp
@@ -28,7 +28,8 @@
   Micros poll_interval = 0;   // maximum time between polls; 0: unknown
   // The list is pushed to an agent on this machine at this address; it is followed without a Watch action.
   bool pushed = false;
-  std::uint64_t seed = 0;  // for the backoff
+  std::uint64_t seed = 0;                                  // for the backoff
+  std::size_t max_list_size = http::kMaxEndpointListSize;  // in bytes; a longer list is malformed
 };
 
 class DiscoveryClient final : public EndpointSource {
--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -202,17 +202,16 @@
   auto it = requests_.find(id);
   if (it == requests_.end() || it->second.sink == nullptr) return nullptr;
   --open_requests_;
+  it->second.payload = nullptr;  // nothing is sent any more; its memory may be needed
   return std::exchange(it->second.sink, nullptr);
 }
 
 // While events are queued, the request is kept: the module may not know yet that the request has ended, may
 // send another attempt, and must receive an outcome with the right attempt number.
-// Its payload is released at once: one client's pipelined requests may all end while one event is delivered.
 void RequestDispatcher::EraseIfFinished(RequestId id) {
   auto it = requests_.find(id);
   if (it == requests_.end() || it->second.sink != nullptr || it->second.attempts_in_flight != 0) return;
   if (delivering_) {
-    it->second.payload = nullptr;
     finished_.push_back(id);
   } else {
     requests_.erase(it);
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -38,8 +38,8 @@
 constexpr std::size_t kDiscardBufferSize = 64 * 1024;  // maximum read of data that is discarded
 // Maximum pipelined data kept per client: one request of maximum size, or many small ones.
 constexpr std::size_t kMaxPipelinedBytes = http::kMaxHeadSize + http::kMaxBodySize;
-// Received data of each client that needs no share of the request memory: a head of maximum size.
-constexpr std::size_t kUnreservedBytes = http::kMaxHeadSize;
+// Received data of each client that is buffered even if the memory for requests is used up.
+constexpr std::size_t kGuaranteedBytes = std::size_t{2} * 1024;
 constexpr int kMaxHintToTimeout = 16;  // hints above this multiple of the class's timeout are ignored
 
 // Headers that may occur only once: proxy and server might interpret repeated ones differently.
@@ -110,7 +110,7 @@
     if (parser_.done() || parser_.bad() || pipeline_overflow_) return BufferPipelined(n);
     bool is_first_byte = !parser_.begun();
     parser_.Commit(n);
-    if (!ReserveMemory(held_bytes_ + parser_.buffered())) return OnMemoryExhausted();
+    if (!ReserveMemory(parser_.buffered())) return OnMemoryExhausted();
     const Micros received_at = ReceivedAt();
     if (state_ != State::kReading) return received_.Add(n, parser_.buffered(), received_at);
     received_.Restart(parser_.buffered(), received_at);
@@ -132,7 +132,7 @@
       return;
     }
     state_ = State::kReading;
-    ShrinkReservation();
+    reservation_.ShrinkTo(parser_.buffered());
     StartReceiveTimeout();
     ProcessInput();
     socket.ResumeReading();
@@ -180,7 +180,7 @@
   void BufferPipelined(std::size_t n) {
     if (parser_.bad() || pipeline_overflow_) return;
     const std::size_t buffered = parser_.buffered() + n;
-    pipeline_overflow_ = buffered > kMaxPipelinedBytes || !ReserveMemory(held_bytes_ + buffered);
+    pipeline_overflow_ = buffered > kMaxPipelinedBytes || !ReserveMemory(buffered);
     if (pipeline_overflow_) return;
     parser_.Feed({listener_.discard_buffer_.data(), n});
     received_.Add(n, parser_.buffered(), listener_.loop_.EventsSince());
@@ -192,19 +192,15 @@
     return std::min(listener_.loop_.EventsSince(), listener_.loop_.Now() - socket.TimeSinceLastData());
   }
 
-  // Reserves memory for `bytes` received bytes of this client; false: none is left.
+  // Reserves memory for `bytes` buffered bytes of this client; false: none is left. What a long body has
+  // beyond kMaxPipelinedBytes is reserved by the parser.
   bool ReserveMemory(std::size_t bytes) {
-    if (listener_.options_.request_memory == nullptr || bytes <= kUnreservedBytes) return true;
-    if (!reservation_.shares()) reservation_ = BodyMemory::Share(listener_.options_.request_memory);
-    // What a long body has beyond that is reserved by the parser.
-    return reservation_.GrowTo(std::min(bytes, kMaxPipelinedBytes) - kUnreservedBytes);
-  }
-
-  // After a response: its request is no longer held, only what was received behind it.
-  void ShrinkReservation() {
-    held_bytes_ = 0;
-    reservation_ = BodyMemory::Share();
-    ReserveMemory(parser_.buffered());
+    const std::shared_ptr<MemoryBudget>& memory = listener_.options_.request_memory;
+    if (memory == nullptr) return true;
+    if (!reservation_.has_budget()) reservation_ = MemoryBudget::Reservation(memory);
+    const std::size_t wanted = std::min(bytes, kMaxPipelinedBytes);
+    reservation_.GrowUnconditionallyTo(std::min(wanted, kGuaranteedBytes));
+    return reservation_.GrowTo(wanted);
   }
 
   void OnMemoryExhausted() {
@@ -213,7 +209,7 @@
       return;
     }
     parser_ = http::Parser(http::Parser::Kind::kRequest, http::kMaxBodySize, listener_.options_.long_bodies);
-    reservation_ = BodyMemory::Share();
+    reservation_ = MemoryBudget::Reservation();
     Reject(503, "no memory for a request is left now", ClientClose::kNoMemory);
   }
 
@@ -250,8 +246,7 @@
       Reject(413, "too much data was sent before the response", ClientClose::kPipelined);
     if (!parser_.done() || !socket.open()) return false;
     std::size_t buffered = parser_.buffered();
-    http::MessageRef request = parser_.TakeMessage();
-    held_bytes_ = buffered - parser_.buffered();
+    http::MessageRef request = parser_.TakeMessage(reservation_.Split(parser_.expected_size()));
     last_byte_at_ = received_.Take(buffered - parser_.buffered());
     keep_alive_ = request->keep_alive();
     awaiting_first_request_ = false;
@@ -381,10 +376,9 @@
   std::string request_id_;  // of the open request
   Micros connected_at_;
   ReceiveTimes received_;
-  Micros last_byte_at_ = 0;             // of the request taken last
-  std::size_t held_bytes_ = 0;          // size of that request, until its response is sent
-  BodyMemory::Share reservation_;       // for what is received and held beyond kUnreservedBytes
-  bool awaiting_first_request_ = true;  // no complete request yet
+  Micros last_byte_at_ = 0;                // of the request taken last
+  MemoryBudget::Reservation reservation_;  // for what the parser has buffered
+  bool awaiting_first_request_ = true;     // no complete request yet
   bool keep_alive_ = true;
   bool processing_ = false;         // within ProcessInput
   bool pipeline_overflow_ = false;  // pipelined data exceeded the limit
--- a/src/downstream/listener.hpp
+++ b/src/downstream/listener.hpp
@@ -9,8 +9,8 @@
 #include <unordered_set>
 #include <vector>
 
+#include "base/memory_budget.hpp"
 #include "dispatch/request_dispatcher.hpp"
-#include "http/body_memory.hpp"
 #include "io/descriptor_limit.hpp"
 #include "io/event_loop.hpp"
 #include "io/log.hpp"
@@ -31,10 +31,9 @@
   Micros write_timeout = 10'000'000;
   Micros linger_timeout = 1'000'000;
   // Memory for requests with long bodies; null: bodies of up to http::kMaxBodySize only.
-  std::shared_ptr<BodyMemory> long_bodies = nullptr;
-  // Memory for the received data of all clients, without a first part of each that is always granted; null:
-  // no limit.
-  std::shared_ptr<BodyMemory> request_memory = nullptr;
+  std::shared_ptr<MemoryBudget> long_bodies = nullptr;
+  // Memory for received requests, up to the usual size of each; null: no limit.
+  std::shared_ptr<MemoryBudget> request_memory = nullptr;
 };
 
 class DownstreamListener final : private EventHandler {
@@ -67,10 +66,6 @@
   void Close();
   bool closed() const { return closed_; }
   std::size_t connections() const { return connections_.size(); }
-  // Bytes reserved for received requests, beyond the part of each that is always granted.
-  std::size_t request_memory() const {
-    return options_.request_memory == nullptr ? 0 : options_.request_memory->taken();
-  }
   // Sets the number of connection slots; excess connections are closed when they become idle.
   void SetConnectionSlots(std::size_t slots) { admission_.Resize(slots); }
   // Returns the index of a tenant, adding it if necessary.
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -11,8 +11,8 @@
 #include <string_view>
 #include <vector>
 
+#include "base/memory_budget.hpp"
 #include "base/payload.hpp"
-#include "http/body_memory.hpp"
 
 namespace dappletiller::http {
 
@@ -56,7 +56,8 @@
   int status_ = 0;
   bool keep_alive_ = true;
   std::vector<Header> headers_;
-  BodyMemory::Share long_body_;  // for the part of the body above the parser's limit
+  MemoryBudget::Reservation memory_;     // for the message up to the parser's limit
+  MemoryBudget::Reservation long_body_;  // for the part of the body above the parser's limit
 };
 using MessageRef = std::shared_ptr<const Message>;
 
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -36,7 +36,7 @@
   bool keep_alive = false;
 };
 
-Parser::Parser(Kind kind, std::size_t max_body_size, std::shared_ptr<BodyMemory> long_bodies)
+Parser::Parser(Kind kind, std::size_t max_body_size, std::shared_ptr<MemoryBudget> long_bodies)
     : kind_(kind),
       max_body_size_(max_body_size),
       long_bodies_(std::move(long_bodies)),
@@ -48,7 +48,10 @@
   if (done() || bad()) return {};
   std::string& bytes = message_->bytes_;
   std::size_t wanted = kMinReceiveBuffer;
-  if (state_ == State::kSizedBody) wanted = std::clamp(remaining_, std::size_t{1}, kMaxReceiveBuffer);
+  if (state_ == State::kSizedBody) {
+    wanted = std::clamp(remaining_, std::size_t{1}, kMaxReceiveBuffer);
+    bytes.reserve(received_ + remaining_);  // instead of growing to up to twice the size
+  }
   const std::size_t room = bytes.size() - received_;
   if (room < wanted / 2 || room == 0) bytes.resize(received_ + wanted);
   return {bytes.data() + received_, bytes.size() - received_};
@@ -69,7 +72,28 @@
   if (state_ == State::kBodyUntilEnd) Finish();
 }
 
-MessageRef Parser::TakeMessage() {
+std::size_t Parser::expected_size() const {
+  const std::size_t body_at = message_->body_.at;
+  switch (state_) {
+    case State::kHead:
+    case State::kBad:
+      return 0;
+    case State::kDone:
+      return next_;
+    case State::kSizedBody:
+      return body_at + std::min(next_ - body_at + remaining_, max_body_size_);
+    case State::kChunkSize:
+    case State::kChunkData:
+    case State::kChunkEnd:
+    case State::kTrailer:
+    case State::kBodyUntilEnd:
+      break;
+  }
+  return body_at + max_body_size_;
+}
+
+MessageRef Parser::TakeMessage(MemoryBudget::Reservation memory) {
+  message_->memory_ = std::move(memory);
   ReturnToPending();
   MessageRef taken = std::exchange(message_, std::make_unique<Message>());
   state_ = State::kHead;
@@ -273,7 +297,6 @@
     state_ = State::kChunkSize;
   } else if (framing.length) {
     remaining_ = static_cast<std::size_t>(*framing.length);
-    message.bytes_.reserve(next_ + remaining_);  // instead of growing to up to twice the size
     state_ = State::kSizedBody;
   } else if (kind_ == Kind::kResponse) {
     message.keep_alive_ = false;
@@ -291,8 +314,8 @@
   const bool may_ever =
       long_bodies_ != nullptr && size <= kMaxLongBodySize && beyond <= long_bodies_->limit();
   if (!may_ever) return Fail(kContentTooLarge);
-  BodyMemory::Share& share = message_->long_body_;
-  if (!share.shares()) share = BodyMemory::Share(long_bodies_);
+  MemoryBudget::Reservation& share = message_->long_body_;
+  if (!share.has_budget()) share = MemoryBudget::Reservation(long_bodies_);
   return share.GrowTo(static_cast<std::size_t>(beyond)) || Fail(kNoMemory);
 }
 
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -13,7 +13,7 @@
 #include <span>
 #include <string_view>
 
-#include "http/body_memory.hpp"
+#include "base/memory_budget.hpp"
 #include "http/message.hpp"
 
 namespace dappletiller::http {
@@ -32,7 +32,7 @@
 
   // Bodies are limited to `max_body_size`, or to kMaxLongBodySize while `long_bodies` has memory available.
   explicit Parser(Kind kind, std::size_t max_body_size = kMaxBodySize,
-                  std::shared_ptr<BodyMemory> long_bodies = nullptr);
+                  std::shared_ptr<MemoryBudget> long_bodies = nullptr);
 
   // The buffer for the next bytes. Empty: a complete message has to be taken first, or the message is
   // malformed.
@@ -55,8 +55,12 @@
   // Whether the client waits for "100 Continue" before it sends the body.
   bool wants_continue() const { return wants_continue_; }
   void continued() { wants_continue_ = false; }
-  // Returns the message, which must be done(), and continues with the bytes behind it.
-  MessageRef TakeMessage();
+  // Bytes that the message in progress may come to have, not counting the part of its body above the usual
+  // limit; 0 while its head is incomplete.
+  std::size_t expected_size() const;
+  // Returns the message, which must be done() and has expected_size() bytes, and continues with the bytes
+  // behind it. `memory`, reserved for the message, ends with it.
+  MessageRef TakeMessage(MemoryBudget::Reservation memory = {});
 
  private:
   enum class State {
@@ -98,7 +102,7 @@
 
   Kind kind_;
   std::size_t max_body_size_;
-  std::shared_ptr<BodyMemory> long_bodies_;
+  std::shared_ptr<MemoryBudget> long_bodies_;
   State state_ = State::kHead;
   int error_status_ = 0;
   std::unique_ptr<Message> message_;
--- a/src/proxy/components.cpp
+++ b/src/proxy/components.cpp
@@ -26,9 +26,11 @@
       operator_path(std::move(operator_file)),
       dispatcher(loop, log, config.settings, config.classes),
       descriptors(ConnectionLimit(config), ReservedForClients(config)),
-      long_bodies(std::make_shared<BodyMemory>(LongBodyMemory(config))),
-      upstream(loop, log, dispatcher, descriptors, MakeUpstreamLimits(config), long_bodies),
-      listener(loop, log, dispatcher, descriptors, MakeListenerOptions(config, long_bodies)),
+      request_memory(std::make_shared<MemoryBudget>(PlanMemory(config).requests)),
+      response_memory(std::make_shared<MemoryBudget>(PlanMemory(config).responses)),
+      long_bodies(std::make_shared<MemoryBudget>(PlanMemory(config).long_bodies)),
+      upstream(loop, log, dispatcher, descriptors, MakeUpstreamLimits(config), long_bodies, response_memory),
+      listener(loop, log, dispatcher, descriptors, MakeListenerOptions(config, request_memory, long_bodies)),
       discovery(loop, log, dispatcher, MakeDiscoveryOptions(config)) {
   dispatcher.Connect(upstream, discovery);
   config.settings_text.clear();  // only the scale runs compare it
--- a/src/proxy/components.hpp
+++ b/src/proxy/components.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "base/memory_budget.hpp"
 #include "config/operator_file.hpp"
 #include "config/platform_config.hpp"
 #include "config_feed/client/feed_client.hpp"
@@ -13,7 +14,6 @@
 #include "discovery/discovery_client.hpp"
 #include "dispatch/request_dispatcher.hpp"
 #include "downstream/listener.hpp"
-#include "http/body_memory.hpp"
 #include "io/descriptor_limit.hpp"
 #include "io/event_loop.hpp"
 #include "io/log.hpp"
@@ -51,7 +51,9 @@
   EventLoop loop;
   RequestDispatcher dispatcher;
   DescriptorLimit descriptors;
-  std::shared_ptr<BodyMemory> long_bodies;
+  std::shared_ptr<MemoryBudget> request_memory;
+  std::shared_ptr<MemoryBudget> response_memory;
+  std::shared_ptr<MemoryBudget> long_bodies;
   UpstreamPool upstream;
   DownstreamListener listener;
   DiscoveryClient discovery;
--- a/src/proxy/reload.cpp
+++ b/src/proxy/reload.cpp
@@ -85,6 +85,10 @@
   const Config& now = components->config;
   components->descriptors.Resize(ConnectionLimit(now), ReservedForClients(now));
   components->listener.SetConnectionSlots(ClientConnectionSlots(now));
+  const MemoryPlan plan = PlanMemory(now);
+  components->request_memory->SetLimit(plan.requests);
+  components->response_memory->SetLimit(plan.responses);
+  components->long_bodies->SetLimit(plan.long_bodies);
   components->upstream.SetLimits(MakeUpstreamLimits(now));
   components->discovery.Reconfigure(MakeDiscoveryOptions(now));
   components->dispatcher.ApplySettings(now.settings, now.classes);
--- a/src/proxy/resource_log.cpp
+++ b/src/proxy/resource_log.cpp
@@ -29,14 +29,14 @@
   const std::size_t connections = components_.descriptors.used();
   if (connections == 0 && peak == reported_peak_) return;
   reported_peak_ = peak;
-  const auto request_memory = components_.listener.request_memory();
   components_.log.Important(
-      "resources: peak memory %ld of %zu MB; request data %zu kB; %zu of %zu connections; %zu requests in "
-      "the "
-      "table; up %lld s",
+      "resources: peak memory %ld of %zu MB; request data %zu kB, response data %zu kB, %zu responses wait "
+      "for memory; %zu of %zu "
+      "connections; %zu requests in the table; up %lld s",
       peak / kKilobytesPerMegabyte, components_.config.memory / kBytesPerMegabyte,
-      request_memory / kBytesPerKilobyte, connections, components_.descriptors.limit(),
-      components_.dispatcher.table_size(),
+      components_.request_memory->used() / kBytesPerKilobyte,
+      components_.response_memory->used() / kBytesPerKilobyte, components_.upstream.waiting_for_memory(),
+      connections, components_.descriptors.limit(), components_.dispatcher.table_size(),
       static_cast<long long>((components_.loop.Now() - started_at_) / kMicrosPerSecond));
 }
 
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/memory_budget.hpp"
 #include "base/payload.hpp"
-#include "http/body_memory.hpp"
 #include "http/parser.hpp"
 #include "http/writer.hpp"
 
@@ -18,6 +18,9 @@
 
 constexpr Micros kRedialDelay = 5'000;  // while the machine is short of descriptors, memory or ports
 
+// Received data of each connection that is buffered even if the memory is used up.
+constexpr std::size_t kGuaranteedBytes = std::size_t{2} * 1024;
+
 constexpr Micros kDecayInterval = 10'000'000;
 constexpr int kMaxIdleInspected = 8;  // idle connections inspected for one attempt
 // A server that has sent more than one response to a request may do so again, some milliseconds later. For a
@@ -43,7 +46,8 @@
         timer(pool.loop_),
         socket(pool.loop_, *this),
         pool_(pool),
-        parser_(http::Parser::Kind::kResponse, http::kMaxBodySize, pool.long_bodies_) {}
+        parser_(http::Parser::Kind::kResponse, http::kMaxBodySize, pool.long_bodies_),
+        memory_(pool.response_memory_) {}
 
   void Send(const Attempt& attempt) {
     key = attempt.key;
@@ -58,7 +62,26 @@
     socket.Flush();
   }
 
-  std::span<char> ReceiveBuffer() override { return parser_.ReceiveBuffer(); }
+  std::span<char> ReceiveBuffer() override {
+    if (ReserveMemory()) return parser_.ReceiveBuffer();
+    if (!waits_for_memory_) pool_.WaitForMemory(key);
+    waits_for_memory_ = true;
+    return {};
+  }
+
+  // Reserves memory for the whole response as soon as its size is known, so that each one that has begun can
+  // be completed.
+  bool ReserveMemory() {
+    if (!memory_.has_budget()) return true;
+    const std::size_t expected = parser_.expected_size();
+    memory_.GrowUnconditionallyTo(std::max(kGuaranteedBytes, parser_.buffered()));
+    return memory_.GrowTo(expected);
+  }
+
+  void ResumeReading() {
+    waits_for_memory_ = false;
+    socket.ResumeReading();
+  }
 
   void OnConnected() override {
     connected = true;
@@ -116,7 +139,9 @@
       return pool_.Finish(*this, written_ ? AttemptOutcome::kReset : AttemptOutcome::kUnreachable, nullptr);
     }
     if (!parser_.done()) return;
-    http::MessageRef response = parser_.TakeMessage();
+    memory_.ShrinkTo(parser_.expected_size());
+    http::MessageRef response =
+        parser_.TakeMessage(std::exchange(memory_, MemoryBudget::Reservation(pool_.response_memory_)));
     // After a response that precedes the end of the request, part of the request is still on the connection.
     reusable_ = response->keep_alive() && written_ && !parser_.begun();
     if (parser_.begun()) pool_.RecordExtraData(server);
@@ -138,7 +163,9 @@
 
   UpstreamPool& pool_;
   http::Parser parser_;
-  http::MessageRef request_;  // until it is written
+  MemoryBudget::Reservation memory_;  // for what the parser has buffered, and the rest of the response
+  bool waits_for_memory_ = false;     // nothing is read meanwhile
+  http::MessageRef request_;          // until it is written
   Micros deadline_ = 0;
   bool written_ = false;
   // The current response began before the server's kernel had the whole request, so it belongs to an earlier
@@ -149,18 +176,40 @@
 
 UpstreamPool::UpstreamPool(EventLoop& loop, Log& log, RequestDispatcher& dispatcher,
                            DescriptorLimit& descriptors, const UpstreamLimits& limits,
-                           std::shared_ptr<BodyMemory> long_bodies)
+                           std::shared_ptr<MemoryBudget> long_bodies,
+                           std::shared_ptr<MemoryBudget> response_memory)
     : loop_(loop),
       log_(log),
       dispatcher_(dispatcher),
       descriptors_(descriptors),
       limits_(limits),
       long_bodies_(std::move(long_bodies)),
+      response_memory_(std::move(response_memory)),
+      memory_timer_(loop),
       decay_timer_(loop) {
+  if (response_memory_ != nullptr) {
+    response_memory_->SetOnReleased([this] {
+      const bool must_resume = !waiting_for_memory_.empty() && !memory_timer_.set();
+      if (must_resume) memory_timer_.Set(0, [this] { ResumeWaiting(); });
+    });
+  }
   descriptors_.SetCloseUnused(DescriptorLimit::Side::kUpstream, [this] { return CloseOneIdle(); });
 }
 
-UpstreamPool::~UpstreamPool() { descriptors_.SetCloseUnused(DescriptorLimit::Side::kUpstream, nullptr); }
+UpstreamPool::~UpstreamPool() {
+  descriptors_.SetCloseUnused(DescriptorLimit::Side::kUpstream, nullptr);
+  if (response_memory_ != nullptr) response_memory_->SetOnReleased(nullptr);
+}
+
+// In the order in which they began to wait, so that none waits for ever.
+void UpstreamPool::ResumeWaiting() {
+  while (!waiting_for_memory_.empty()) {
+    const auto found = busy_.find(waiting_for_memory_.front());
+    if (found != busy_.end() && !found->second->ReserveMemory()) return;
+    waiting_for_memory_.pop_front();
+    if (found != busy_.end()) found->second->ResumeReading();
+  }
+}
 
 void UpstreamPool::SetEndpoint(ServerId server, const Endpoint& endpoint) {
   Pool& pool = pools_[server];
--- a/src/upstream/upstream_pool.hpp
+++ b/src/upstream/upstream_pool.hpp
@@ -3,13 +3,14 @@
 #ifndef DAPPLETILLER_UPSTREAM_UPSTREAM_POOL_HPP_
 #define DAPPLETILLER_UPSTREAM_UPSTREAM_POOL_HPP_
 
+#include <deque>
 #include <list>
 #include <memory>
 #include <unordered_map>
 
+#include "base/memory_budget.hpp"
 #include "base/payload.hpp"
 #include "dispatch/request_dispatcher.hpp"
-#include "http/body_memory.hpp"
 #include "io/descriptor_limit.hpp"
 #include "io/event_loop.hpp"
 #include "io/log.hpp"
@@ -26,8 +27,11 @@
 class UpstreamPool final : public UpstreamTransport {
  public:
   // `long_bodies`: memory for responses with long bodies; null: bodies of up to http::kMaxBodySize only.
+  // `response_memory`: for responses, up to the usual size of each; null: no limit. A response is read only
+  // once memory for the whole of it is reserved; until then it waits in the kernel.
   UpstreamPool(EventLoop& loop, Log& log, RequestDispatcher& dispatcher, DescriptorLimit& descriptors,
-               const UpstreamLimits& limits, std::shared_ptr<BodyMemory> long_bodies = nullptr);
+               const UpstreamLimits& limits, std::shared_ptr<MemoryBudget> long_bodies = nullptr,
+               std::shared_ptr<MemoryBudget> response_memory = nullptr);
   ~UpstreamPool();
 
   void Start(const Attempt& attempt) override;
@@ -41,6 +45,8 @@
   void SetLimits(const UpstreamLimits& limits);
   std::size_t pools() const { return pools_.size(); }
   std::size_t connections() const { return count_; }
+  // Responses that wait for memory.
+  std::size_t waiting_for_memory() const { return waiting_for_memory_.size(); }
 
  private:
   class Connection;
@@ -55,6 +61,9 @@
   void RecordExtraData(ServerId server);
   void DecayStatistics();
 
+  void WaitForMemory(AttemptKey key) { waiting_for_memory_.push_back(key); }
+  void ResumeWaiting();
+
   std::unique_ptr<Connection> TakeIdle(Pool& pool);
   void Dial(Connection& connection, Micros connect_by);
   bool CloseOneIdle();
@@ -69,9 +78,12 @@
   RequestDispatcher& dispatcher_;
   DescriptorLimit& descriptors_;
   UpstreamLimits limits_;
-  std::shared_ptr<BodyMemory> long_bodies_;
+  std::shared_ptr<MemoryBudget> long_bodies_;
+  std::shared_ptr<MemoryBudget> response_memory_;
   std::unordered_map<ServerId, Pool> pools_;
   std::unordered_map<AttemptKey, std::unique_ptr<Connection>, AttemptKeyHash> busy_;
+  std::deque<AttemptKey> waiting_for_memory_;  // the first one first; some may have ended
+  Timer memory_timer_;                         // set when memory may be available
   std::size_t count_ = 0;
   limits::IdleReuseEstimator idle_reuse_;
   Timer decay_timer_;  // decays the idle-time statistics, so that long idle times are tried again
--- a/tests/fault_injection/process_fault_test.cpp
+++ b/tests/fault_injection/process_fault_test.cpp
@@ -149,6 +149,83 @@
   fixture.WaitForData(client, "served");
 }
 
+TEST_CASE("slow answers take the process over its memory limit") {
+  constexpr std::size_t kMemoryKilobytes = 32 * 1024;
+  constexpr std::size_t kClients = 330;
+  const std::string body(37'000, 'q');
+  TestServer server;
+  std::string config = ProgramConfig(0, server.port);
+  Replace(&config, "\"sockets\":256", "\"sockets\":1024,\"memory_mb\":32");
+  Replace(&config, "\"aim\":4000000", "\"aim\":20000000");
+  Replace(&config, "\"effect\":\"free\"", "\"effect\":\"single_shot\"");
+  Replace(&config, "\"dialTimeout\":250000", "\"dialTimeout\":5000000");
+  Program program(config, {{"ASAN_OPTIONS", kSanitizerOptions}});
+  ProxyFixture fixture;  // only for its bounded waits
+  std::uint16_t port = ReadPort(fixture, program, "started as n0 on port ");
+  const std::size_t before = program.PeakMemoryKilobytes();
+  std::vector<TestConnection> clients;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    clients.push_back(TestConnection::Connect(port));
+    clients.back().Send("POST /api HTTP/1.1\r\nRequest-Id: m" + std::to_string(i) +
+                        "\r\nRequest-Class: check\r\nRequest-Timeout: 15000m\r\nWork-Hint: 1000\r\n" +
+                        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    while (server.Accept()) {
+    }
+  }
+  fixture.WaitUntil("the server has all requests", [&] {
+    while (server.Accept()) {
+    }
+    return server.connections.size() == kClients &&
+           std::all_of(server.connections.begin(), server.connections.end(),
+                       [&](TestConnection& at) { return at.HasReceived(body); });
+  });
+  const std::string answer = Response(200, std::string(64 * 1024 - 1, 'r') + "z");
+  constexpr std::size_t kHeldBack = 100;
+  std::vector<std::size_t> sent(kClients, 0);
+  auto send_up_to = [&](std::size_t size) {
+    bool all = true;
+    for (std::size_t i = 0; i < kClients; ++i) {
+      sent[i] += server.connections[i].TrySend(std::string_view(answer).substr(sent[i], size - sent[i]));
+      all = all && sent[i] == size;
+    }
+    return all;
+  };
+  fixture.WaitUntil("most of each answer is written", [&] { return send_up_to(answer.size() - kHeldBack); });
+  ::poll(nullptr, 0, 300);  // the proxy reads what it can hold
+  fixture.WaitUntil("the rest is written", [&] { return send_up_to(answer.size()); });
+  fixture.WaitUntil("all clients have their answers", [&] {
+    return std::all_of(clients.begin(), clients.end(), [&](TestConnection& client) {
+      return client.Received().size() > kHeldBack && client.text.back() == 'z';
+    });
+  });
+  CHECK(program.PeakMemoryKilobytes() - before <= kMemoryKilobytes);
+}
+
+TEST_CASE("a list without end takes the process over its memory limit") {
+  constexpr std::size_t kMaxGrowthKilobytes = 8 * 1024;  // of 32 MB, most of which belong to requests
+  constexpr std::size_t kSent = std::size_t{24} * 1024 * 1024;
+  TestServer server, discovery;
+  std::string config = ProgramConfig(0, server.port, discovery.port);
+  Replace(&config, "\"sockets\":256", "\"sockets\":1024,\"memory_mb\":32");
+  Program program(config, {{"ASAN_OPTIONS", kSanitizerOptions}});
+  ProxyFixture fixture;  // only for its bounded waits
+  ReadPort(fixture, program, "started as n0 on port ");
+  const std::size_t before = program.PeakMemoryKilobytes();
+  fixture.WaitUntil("the list is requested", [&] {
+    discovery.Accept();
+    return !discovery.connections.empty() && discovery.connections.back().HasReceived("\r\n\r\n");
+  });
+  TestConnection& endless = discovery.connections.back();
+  endless.Send("HTTP/1.1 200 X\r\n\r\n{\"rev\":2,\"all\":true,\"targets\":[");
+  const std::string piece(64 * 1024, ' ');
+  std::size_t sent = 0;
+  fixture.WaitUntil("the list is given up", [&] {
+    if (sent < kSent) sent += endless.TrySend(piece);
+    return endless.IsClosed();
+  });
+  CHECK(program.PeakMemoryKilobytes() - before <= kMaxGrowthKilobytes);
+}
+
 // Sends a request and expects the server's answer to it.
 void ExpectServed(ProxyFixture& fixture, std::uint16_t port, TestServer& server, const std::string& id,
                   const std::string& answer_header = "") {
--- a/tests/net/long_body_test.cpp
+++ b/tests/net/long_body_test.cpp
@@ -1,7 +1,7 @@
 // Long bodies are forwarded completely while memory for them is available, and rejected otherwise.
 #include <string>
 
-#include "http/body_memory.hpp"
+#include "base/memory_budget.hpp"
 #include "http/parser.hpp"
 #include "support.hpp"
 
@@ -57,7 +57,7 @@
   SendAll(fixture, client, UnsafeRequest("a1", request_body));
   TestConnection& upstream = fixture.WaitForRequest(server, "a1");
   fixture.WaitForData(upstream, request_body);
-  CHECK(fixture.long_bodies->taken() == kBeyondUsual);
+  CHECK(fixture.long_bodies->used() == kBeyondUsual);
   SendAll(fixture, upstream, answer);
   if (answer.find("Content-Length") == std::string::npos && answer.find("chunked") == std::string::npos) {
     upstream.ShutdownWrite();
@@ -65,7 +65,7 @@
   fixture.WaitForData(client, response_body);
   CHECK(client.text.rfind("HTTP/1.1 200 ", 0) == 0);
   CheckSettled(fixture);
-  fixture.WaitUntil("its memory is released", [&] { return fixture.long_bodies->taken() == 0; });
+  fixture.WaitUntil("its memory is released", [&] { return fixture.long_bodies->used() == 0; });
 }
 
 TEST_CASE("a long request is rejected while the memory for long bodies is in use, and served afterwards") {
@@ -87,7 +87,7 @@
   fixture.WaitForData(third, "usual");
   upstream.Send(Response(200, "for the first"));
   fixture.WaitForData(first, "for the first");
-  fixture.WaitUntil("its memory is released", [&] { return fixture.long_bodies->taken() == 0; });
+  fixture.WaitUntil("its memory is released", [&] { return fixture.long_bodies->used() == 0; });
   TestConnection fourth = fixture.ConnectClient();
   const std::string body = LongBody(kLong, 'd');
   SendAll(fixture, fourth, UnsafeRequest("fourth", body));
@@ -120,7 +120,7 @@
     client.Send(head + framing);
     fixture.WaitForData(client, "HTTP/1.1 413 ");
   }
-  CHECK(fixture.long_bodies->taken() == 0);
+  CHECK(fixture.long_bodies->used() == 0);
 }
 
 TEST_CASE("a response without memory available fails and uses none") {
@@ -139,29 +139,29 @@
     remaining.remove_prefix(upstream.TrySend(remaining));
     return client.HasReceived("HTTP/1.1 502 ");
   });
-  fixture.WaitUntil("its memory is released", [&] { return fixture.long_bodies->taken() == 0; });
+  fixture.WaitUntil("its memory is released", [&] { return fixture.long_bodies->used() == 0; });
 }
 
 TEST_CASE("body memory: shares grow within the common limit and release their memory") {
-  auto memory = std::make_shared<BodyMemory>(100);
-  BodyMemory::Share none;
+  auto memory = std::make_shared<MemoryBudget>(100);
+  MemoryBudget::Reservation none;
   CHECK(none.GrowTo(0));
   CHECK_FALSE(none.GrowTo(1));
   {
-    BodyMemory::Share first(memory);
+    MemoryBudget::Reservation first(memory);
     CHECK(first.GrowTo(60));
     CHECK(first.GrowTo(40));  // no change
-    CHECK(memory->taken() == 60);
-    BodyMemory::Share second(memory);
+    CHECK(memory->used() == 60);
+    MemoryBudget::Reservation second(memory);
     CHECK_FALSE(second.GrowTo(41));
     CHECK(second.GrowTo(40));
     CHECK_FALSE(first.GrowTo(61));
-    BodyMemory::Share moved(std::move(first));
-    CHECK(memory->taken() == 100);
+    MemoryBudget::Reservation moved(std::move(first));
+    CHECK(memory->used() == 100);
     second = std::move(moved);
-    CHECK(memory->taken() == 60);
+    CHECK(memory->used() == 60);
   }
-  CHECK(memory->taken() == 0);
+  CHECK(memory->used() == 0);
 }
 
 }  // namespace
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -16,11 +16,11 @@
 #include <utility>
 #include <vector>
 
+#include "base/memory_budget.hpp"
 #include "base/payload.hpp"
 #include "discovery/discovery_client.hpp"
 #include "dispatch/request_dispatcher.hpp"
 #include "downstream/listener.hpp"
-#include "http/body_memory.hpp"
 #include "http/parser.hpp"
 #include "upstream/upstream_pool.hpp"
 
@@ -176,7 +176,7 @@
                         Micros linger_timeout = 1'000 * kMs, std::size_t long_body_memory = 0)
       : dispatcher(loop, log, settings, kTestClassNames),
         descriptors(connections, reserved),
-        long_bodies(std::make_shared<BodyMemory>(long_body_memory)),
+        long_bodies(std::make_shared<MemoryBudget>(long_body_memory)),
         upstream_pool(loop, log, dispatcher, descriptors, {kBound, idle}, long_bodies),
         listener(loop, log, dispatcher, descriptors,
                  {{kLoopback, 0},
@@ -248,7 +248,7 @@
   Log log{stderr, "test"};
   RequestDispatcher dispatcher;
   DescriptorLimit descriptors;
-  std::shared_ptr<BodyMemory> long_bodies;
+  std::shared_ptr<MemoryBudget> long_bodies;
   UpstreamPool upstream_pool;
   DownstreamListener listener;
   DiscoveryClient discovery;
