Give each run of the soak a loopback address of its own

Suspected, not proven: two proxies of the run had been given one port, so that the requests went to another process. Every path of the program that ends a client's connection was read again without finding one that ends an open request. Ports are no longer picked and given back: each run has fixed ports at an address that follows from its process's number.

The failure was not reproduced.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -33,6 +33,7 @@
 SHORTAGE = 0.8  # calls fail for less than this at a time
 PR_SET_PDEATHSIG = 1  # prctl(2)
 LAG_TICK = 0.01
+PROXY_PORT = 8081  # of the first proxy
 MEMORY_MB = 48
 DESCRIPTORS = 544
 PROXIES = 3
@@ -95,11 +96,11 @@
         self.hung_until = 0
 
     async def start(self):
-        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=512)
+        self.listener = await asyncio.start_server(self.serve, self.run.host, 0, backlog=512)
         self.port = self.listener.sockets[0].getsockname()[1]
 
     def entry(self):
-        return {"uid": self.uid, "endpoint": f"127.0.0.1:{self.port}", "az": "ab"[self.number % 2], "model": "m",
+        return {"uid": self.uid, "endpoint": f"{self.run.host}:{self.port}", "az": "ab"[self.number % 2], "model": "m",
                 "state": "draining" if self.draining else "up", "boot_ms": self.boot, "capacity_hint": 4.0}
 
     async def serve(self, reader, writer):
@@ -154,7 +155,7 @@
         self.changed = asyncio.Event()
 
     async def start(self):
-        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.listener = await asyncio.start_server(self.serve, self.run.host, 0)
         self.port = self.listener.sockets[0].getsockname()[1]
 
     def change(self):
@@ -212,14 +213,14 @@
         self.run, self.number = run, number
         self.folder = os.path.join(run.folder, f"p{number}")
         os.mkdir(self.folder)
-        self.port = free_port()
+        self.port = PROXY_PORT + number
         self.life = None
         self.peak = 0
 
     def start(self):
         run = self.run
         config = {
-            "name": f"p{self.number}", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{run.discovery.port}",
+            "name": f"p{self.number}", "listen": f"{run.host}:{self.port}", "discovery": f"{run.host}:{run.discovery.port}",
             "seed": f"{run.rng.getrandbits(60):x}", "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
             "known": run.discovery.whole(),
             "settings": {
@@ -287,17 +288,18 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
 
 
-def free_port():
-    import socket
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def own_host():
+    """A loopback address that no other running soak uses, so that fixed ports on it are free: it follows from
+    the process's number, and no connection begins at it."""
+    number = os.getpid()
+    return f"127.{100 + (number >> 16) % 100}.{number >> 8 & 255}.{number & 255}"
 
 
 class Run:
     def __init__(self, seed, options):
         self.seed, self.options = seed, options
         self.rng = random.Random(seed)
+        self.host = own_host()
         self.folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         self.requests, self.outcomes, self.violations = {}, {}, []
         self.next_id = 0
@@ -348,7 +350,7 @@
         limit = now() + 10
         while now() < limit and proxy.life.running():
             try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+                reader, writer = await asyncio.open_connection(self.host, proxy.port)
                 writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
                 line = await asyncio.wait_for(reader.readline(), 1)
                 writer.close()
@@ -401,7 +403,7 @@
                 continue
             life = proxy.life
             try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+                reader, writer = await asyncio.open_connection(self.host, proxy.port)
             except OSError:
                 await asyncio.sleep(0.05)
                 continue
@@ -564,7 +566,7 @@
 
     async def bad_client(self, proxy, data):
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+            reader, writer = await asyncio.open_connection(self.host, proxy.port)
             writer.write(data)
             await asyncio.wait_for(reader.read(-1), 3)
             writer.close()
@@ -577,7 +579,7 @@
             proxy = self.rng.choice(self.proxies)
             for _ in range(60):
                 try:
-                    held.append((await asyncio.open_connection("127.0.0.1", proxy.port))[1])
+                    held.append((await asyncio.open_connection(self.host, proxy.port))[1])
                 except OSError:
                     break
             if len(held) > 1500:
