Let the soak reload with a keyed class that comes, changes and goes

Reloads now bring, change and drop a keyed class with its group, window and number of attempts; a fifth of its requests are answered with 500, and each attempt is judged from the servers' side. Some answers come slowly.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,8 @@
 """A soak of the real program over loopback: clients on connections that they keep, signals in series, faults.
 
 Each seed draws a run of some seconds with three proxies: restarts by SIGTERM (SIGKILL follows at the earliest
-time that the platform allows), by SIGKILL alone, reloads, servers in trouble, drains, bad clients, sometimes a
+time that the platform allows), by SIGKILL alone, reloads with a class that comes, changes and goes, servers in
+trouble, drains, bad clients, sometimes a
 crowd of idle clients, system calls that fail (tests/fault_injection/syscall_faults.cpp) and a stepped clock.
 The verdict comes from what clients and servers saw. Exit code 1 if a rule was broken.
 
@@ -33,13 +34,16 @@
 SHORTAGE = 0.8  # calls fail for less than this at a time
 PR_SET_PDEATHSIG = 1  # prctl(2)
 LAG_TICK = 0.01
-PROXY_PORT = 8081  # of the first proxy
 MEMORY_MB = 48
 DESCRIPTORS = 544
 PROXIES = 3
 SERVERS = 6
 CLIENTS_PER_PROXY = 10
-CLASSES = {"check": ("GET", 1.0), "pay": ("POST", 2.0), "open": ("POST", 2.0)}
+CLASSES = {"check": ("GET", 1.0), "pay": ("POST", 2.0), "open": ("POST", 2.0), "list": ("POST", 1.5)}
+NAMED_AFTER_RELOAD = 1.2  # seconds; clients name a class of a new configuration from then on
+LIST_ERRORS = 0.2  # of the requests of the class that reloads bring: they may have run
+RULE_SLACK = 0.05  # every time limit of a class is so much longer
+PROXY_PORT = 8081  # of the first proxy
 
 FAULT_RULES = [
     "accept4:ECONNABORTED:chance=20,every=2000,for=400",
@@ -82,6 +86,32 @@
         self.sent_at = now()
         self.gone_at = None  # when the client closed its connection
         self.executed = 0
+        self.rules = None  # those of its class, if they are judged
+        self.attempts = []
+
+
+class Attempt:
+    """One sending of a request to a server."""
+
+    def __init__(self, server, began):
+        self.server, self.began = server, began
+        self.may_have_run = True
+
+
+class ListRules:
+    """The rules of the keyed class that reloads bring, change and drop."""
+
+    def __init__(self, rng):
+        self.group = rng.choice(["cell", "zone"])
+        self.window = rng.choice([0.3, 0.8, 1.5])
+        self.max_attempts = rng.choice([2, 3, 4])
+
+    def settings(self):
+        return {"name": "list", "aim": 400000, "giveUp": 1500000, "effect": "guarded", "group": self.group,
+                "window": int(self.window * 1e6)}
+
+    def joins(self, first, server):
+        return first.server.zone == server.zone and (self.group == "zone" or first.server.cell == server.cell)
 
 
 class Server:
@@ -90,6 +120,8 @@
     def __init__(self, run, number):
         self.run, self.number = run, number
         self.uid = f"s-{number}"
+        self.zone = "ab"[number % 2]
+        self.cell = number % 2 + 2 * (number // 4)  # of one or two servers in a zone
         self.draining = False
         self.drained_at = 0
         self.boot = 0
@@ -100,8 +132,8 @@
         self.port = self.listener.sockets[0].getsockname()[1]
 
     def entry(self):
-        return {"uid": self.uid, "endpoint": f"{self.run.host}:{self.port}", "az": "ab"[self.number % 2], "model": "m",
-                "state": "draining" if self.draining else "up", "boot_ms": self.boot, "capacity_hint": 4.0}
+        return {"uid": self.uid, "endpoint": f"{self.run.host}:{self.port}", "az": self.zone, "model": "m",
+                "pod_group": self.cell, "state": "draining" if self.draining else "up", "boot_ms": self.boot, "capacity_hint": 4.0}
 
     async def serve(self, reader, writer):
         try:
@@ -125,8 +157,11 @@
             run.broken(f"a server got a request with an unknown id: {ident!r}")
             return False
         run.check_attempt(self, request, headers, began)
+        attempt = Attempt(self, began)
+        request.attempts.append(attempt)
         draw = rng.random()
         if draw < 0.02:
+            attempt.may_have_run = False
             writer.write(b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
             return True
         request.executed += 1
@@ -134,7 +169,7 @@
             run.broken(f"{ident}: ran {request.executed} times, though it must not be repeated")
         if now() < self.hung_until:
             await asyncio.sleep(self.hung_until - now())
-        if draw < 0.04:
+        if draw < 0.04 or (request.name == "list" and rng.random() < LIST_ERRORS):
             writer.write(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
             return True
         if draw < 0.05:
@@ -142,7 +177,12 @@
             return False
         await asyncio.sleep(rng.expovariate(1 / 0.008))
         text = f"answer to {ident}".encode() + b"." * (rng.choice([0, 0, 0, 9000, 60000]))
-        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+        answer = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(text) + text
+        if rng.random() < 0.1:  # a slow one
+            writer.write(answer[:-20])
+            await asyncio.sleep(rng.uniform(0, 0.5))
+            answer = answer[-20:]
+        writer.write(answer)
         await writer.drain()
         return rng.random() > 0.03
 
@@ -216,10 +256,28 @@
         self.port = PROXY_PORT + number
         self.life = None
         self.peak = 0
-
-    def start(self):
+        self.list_rules = None  # of the class "list" in the configuration, if it is there
+        self.list_named_from = None  # clients name the class from then on
+        self.max_attempts = 3
+
+    def change_configuration(self):
+        """Brings, changes or drops the class "list"; clients name it some time after SIGHUP."""
+        rng = self.run.rng
+        self.list_rules = ListRules(rng) if rng.random() < 0.8 else None
+        self.max_attempts = self.list_rules.max_attempts if self.list_rules else 3
+        self.write_configuration()
+
+    def write_configuration(self):
+        """Atomically, as the platform does."""
+        path = os.path.join(self.folder, "config.json")
+        with open(path + ".new", "w") as file:
+            json.dump(self.configuration(), file)
+        os.replace(path + ".new", path)
+
+    def configuration(self):
         run = self.run
-        config = {
+        added = [self.list_rules.settings()] if self.list_rules else []
+        return {
             "name": f"p{self.number}", "listen": f"{run.host}:{self.port}", "discovery": f"{run.host}:{run.discovery.port}",
             "seed": f"{run.rng.getrandbits(60):x}", "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
             "known": run.discovery.whole(),
@@ -229,13 +287,15 @@
                 "classes": [{"name": "check", "aim": 400000, "giveUp": 1000000, "effect": "free"},
                             {"name": "pay", "aim": 800000, "giveUp": 2000000, "effect": "single_shot"},
                             {"name": "open", "aim": 800000, "giveUp": 2000000, "effect": "guarded", "group": "all",
-                             "window": 2000000}],
+                             "window": 2000000}] + added,
                 "invariants": {"startCapacity": 0.2, "cold": 3000000, "tipMultiple": 2, "fall": 1000000,
                                "graceToAnswer": 50000, "askEvery": 2000000},
-                "limits": {"maxAttempts": 3, "mayCancel": True, "retryAfter": True, "maxRetryAfter": 1000000,
+                "limits": {"maxAttempts": self.max_attempts, "mayCancel": True, "retryAfter": True, "maxRetryAfter": 1000000,
                            "dialTimeout": 250000, "connIdle": 2000000}}}
-        with open(os.path.join(self.folder, "config.json"), "w") as file:
-            json.dump(config, file)
+
+    def start(self):
+        run = self.run
+        self.write_configuration()
         environment = dict(os.environ, BALANCER_CONFIG=os.path.join(self.folder, "config.json"), TMPDIR=self.folder)
         if run.faults:
             environment.update(LD_PRELOAD=run.options.faults, DAPPLETILLER_FAULTS=";".join(run.faults),
@@ -323,10 +383,25 @@
             self.broken(f"{request.ident}: a server was told {told:.3f} s, the client has {left:.3f} s left")
         if request.gone_at is not None and began > request.gone_at + GONE_SLACK + self.lag:
             self.broken(f"{request.ident}: attempt {began - request.gone_at:.3f} s after its client closed")
+        if request.rules is not None:
+            self.check_rules(request, server, began)
         slow_watch = SHORTAGE if self.faults else 0  # a watch may have to be opened anew
         if server.draining and began > server.drained_at + DRAIN_GRACE + slow_watch + self.lag:
             self.broken(f"{request.ident}: sent to {server.uid}, {began - server.drained_at:.3f} s after its drain")
 
+    def check_rules(self, request, server, began):
+        rules = request.rules
+        if len(request.attempts) >= rules.max_attempts:
+            self.broken(f"{request.ident}: attempt {len(request.attempts) + 1}, {rules.max_attempts} are allowed")
+        first = next((a for a in request.attempts if a.may_have_run), None)
+        if first is None:
+            return
+        if not rules.joins(first, server):
+            self.broken(f"{request.ident}: sent to {server.uid} after {first.server.uid}, outside its {rules.group}")
+        if began > first.began + rules.window + RULE_SLACK + self.lag:
+            self.broken(f"{request.ident}: sent again {began - first.began:.3f} s after the first attempt, its "
+                        f"window is {rules.window} s")
+
     async def play(self):
         self.began = now()
         self.discovery = Discovery(self)
@@ -419,7 +494,7 @@
         """Requests on one connection, until it ends or this client closes it."""
         answered = 0
         while not self.over:
-            request = self.new_request()
+            request = self.new_request(proxy)
             leaves = self.rng.random() < 0.05
             writer.write(self.bytes_of(request))
             patience = self.rng.uniform(0, 0.03) if leaves else request.timeout + ANSWER_SLACK
@@ -456,11 +531,16 @@
             return self.crowd and result == "reset"  # a new connection may be shut unread if descriptors are short
         return result in ("reset", "closed") and now() - request.sent_at < CROSSING + self.lag
 
-    def new_request(self):
+    def new_request(self, proxy=None):
         self.next_id += 1
-        name = self.rng.choice(list(CLASSES))
+        names = ["check", "pay", "open"]
+        list_is_named = proxy is not None and proxy.list_named_from is not None and now() > proxy.list_named_from
+        if list_is_named:
+            names += ["list", "list"]
+        name = self.rng.choice(names)
         timeout = self.rng.uniform(0.3, 1) * CLASSES[name][1]
         request = Request(f"r{self.seed}-{self.next_id}", name, timeout)
+        request.rules = proxy.list_rules if name == "list" else None
         self.requests[request.ident] = request
         return request
 
@@ -469,7 +549,7 @@
         body = b"" if method == "GET" else b"b" * self.rng.choice([0, 200, 200, 40000])
         head = (f"{method} /api?k=1 HTTP/1.1\r\nHost: x\r\nRequest-Id: {request.ident}\r\nRequest-Class: {request.name}\r\n"
                 f"Request-Timeout: {int(request.timeout * 1e6)}u\r\nWork-Hint: {self.rng.randint(2000, 20000)}\r\n")
-        if request.name == "open":
+        if request.name in ("open", "list"):
             head += f"Idempotency-Key: k{request.ident}\r\n"
         if method == "POST":
             head += f"Content-Length: {len(body)}\r\n"
@@ -501,23 +581,38 @@
         await asyncio.sleep(self.rng.uniform(0.5, 2))
         while now() < end:
             draw = self.rng.random()
-            if draw < 0.5:
+            if draw < 0.4:
                 await self.terminate(proxy)
-            elif draw < 0.8:
+            elif draw < 0.65:
                 proxy.kill()
             else:
-                for _ in range(self.rng.randint(1, 5)):
-                    proxy.signal(signal.SIGHUP)
-                    await asyncio.sleep(self.rng.uniform(0, 0.05))
-                await asyncio.sleep(0.5)
+                await self.reload(proxy)
                 continue
             await asyncio.sleep(self.rng.uniform(0, 0.5))
+            proxy.list_named_from = None
             proxy.start()
             if not await self.until_ready(proxy):
                 return
+            if proxy.list_rules is not None:
+                proxy.list_named_from = now()
             await asyncio.sleep(self.rng.uniform(0.5, 2))
         await self.terminate(proxy)
 
+    async def reload(self, proxy):
+        """Up to five SIGHUP in a row, most often with a new configuration. What is under way is not judged by it."""
+        changes = self.rng.random() < 0.8
+        if changes:
+            proxy.list_named_from = None
+            await asyncio.sleep(0.1 + self.lag)
+            proxy.change_configuration()
+        for _ in range(self.rng.randint(1, 5)):
+            proxy.signal(signal.SIGHUP)
+            await asyncio.sleep(self.rng.uniform(0, 0.05))
+        signalled_at = now()
+        if proxy.list_rules is not None and proxy.list_named_from is None:
+            proxy.list_named_from = signalled_at + NAMED_AFTER_RELOAD
+        await asyncio.sleep(NAMED_AFTER_RELOAD + self.rng.uniform(0.5, 2) if changes else 0.5)
+
     async def terminate(self, proxy):
         """SIGTERM, with other signals round it, and SIGKILL at the earliest time."""
         life = proxy.life
