Log why a request was given up and what becomes of a response that had begun

- `upstream: response to ID from server N ended after B bytes in T ms: REASON` for each response that had begun and is not passed on.
The transport is told why an attempt is cancelled.
- `details:` counts rejections and failures by reason; Reject and Fail carry it.

No decision changes.

--- a/include/dappletiller/balancer.hpp
+++ b/include/dappletiller/balancer.hpp
@@ -206,14 +206,23 @@
   Micros write_timeout =
       0;  // if the last byte is not written by then, it must not be sent; at most `timeout`
 };
+// Why a request is given up.
+enum class GiveUpReason {
+  kDeadline,       // no response in time
+  kExpectedWait,   // every server would be too late
+  kAttemptFailed,  // an attempt failed, and another one is not possible or not worth it
+  kCount
+};
 // Final: the request had no effect, so the client can safely try again.
 struct Reject {
   RequestId id = 0;
   Micros retry_after = 0;  // 0: no Retry-After
+  GiveUpReason reason = GiveUpReason::kDeadline;
 };
 // Final: the request may or may not have had an effect.
 struct Fail {
   RequestId id = 0;
+  GiveUpReason reason = GiveUpReason::kDeadline;
 };
 struct Cancel {
   RequestId id = 0;
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -611,7 +611,7 @@
       if (candidate.server == nullptr) return;
       Dequeue(request);
       if (CheckTooLate(request, candidate) && MayReject(request)) {
-        RejectRequest(request, candidate.wait);
+        RejectRequest(request, candidate.wait, GiveUpReason::kExpectedWait);
         EraseIfDone(request.id);
       } else {
         SendAttempt(request, *candidate.server);
@@ -622,7 +622,8 @@
   void AgeEstimate(Request& request) {
     if (!request.queued) return;
     Dequeue(request);
-    if (MayReject(request) && now_ > request.objective_at) return RejectRequest(request, 0);
+    if (MayReject(request) && now_ > request.objective_at)
+      return RejectRequest(request, 0, GiveUpReason::kExpectedWait);
     request.aged_estimate /= kAgingDivisor;
     Enqueue(request);
     SendQueued();
@@ -697,19 +698,19 @@
     return true;
   }
 
-  void RejectRequest(Request& request, double expected_wait) {
+  void RejectRequest(Request& request, double expected_wait, GiveUpReason reason) {
     Micros retry_after = 0;
     if (settings_.send_retry_after) {
       double span = std::max(expected_wait, zones_[settings_.zone].median_wait) * (1 + Uniform());
       retry_after = std::min(settings_.max_retry_after, static_cast<Micros>(span));
     }
-    Emit(Reject{request.id, retry_after});
+    Emit(Reject{request.id, retry_after, reason});
     Finish(request);
   }
 
-  void RejectOrFail(Request& request) {
-    if (MayReject(request)) return RejectRequest(request, 0);
-    Emit(Fail{request.id});
+  void RejectOrFail(Request& request, GiveUpReason reason) {
+    if (MayReject(request)) return RejectRequest(request, 0, reason);
+    Emit(Fail{request.id, reason});
     Finish(request);
   }
 
@@ -773,7 +774,7 @@
       if (candidate.server != nullptr && (!MayReject(request) || !CheckTooLate(request, candidate)))
         return SendAttempt(request, *candidate.server);
     }
-    RejectOrFail(request);
+    RejectOrFail(request, GiveUpReason::kAttemptFailed);
   }
 
   void On(const StreamStarted& e) {
@@ -935,7 +936,7 @@
     if (CheckTooLate(request, candidate)) {
       Candidate other = LeastLoadedReserved(request);
       if (other.server == nullptr || ExceedsMaxWait(request, other))
-        return RejectRequest(request, candidate.wait);
+        return RejectRequest(request, candidate.wait, GiveUpReason::kExpectedWait);
       candidate = other;
     }
     SendAttempt(request, *candidate.server);
@@ -956,7 +957,7 @@
       auto it = requests_.find(id);
       if (it == requests_.end() || it->second.finished) continue;
       if (kind == TimerKind::kDeadline) {
-        RejectOrFail(it->second);
+        RejectOrFail(it->second, GiveUpReason::kDeadline);
       } else if (kind == TimerKind::kCheckAttempts) {
         CheckAttempts(it->second);
         SendQueued();
--- a/src/dispatch/counters.hpp
+++ b/src/dispatch/counters.hpp
@@ -6,6 +6,8 @@
 #include <array>
 #include <numeric>
 
+#include "dappletiller/balancer.hpp"
+
 namespace dappletiller {
 
 // Why the proxy closed a client's connection.
@@ -34,6 +36,8 @@
   int retries = 0;
   int rejected_after_attempt = 0;  // of `rejected`
   int accepts_postponed = 0;       // since this machine was short of descriptors or memory
+  // Rejected and failed requests, indexed by balancer::GiveUpReason.
+  std::array<int, static_cast<std::size_t>(balancer::GiveUpReason::kCount)> given_up{};
   std::array<int, static_cast<std::size_t>(ClientClose::kCount)> clients_closed{};  // indexed by ClientClose
   std::array<int, 8> attempts_by_outcome{};  // indexed by AttemptOutcome
 
@@ -44,7 +48,7 @@
   // Whether the line of details has anything to tell.
   bool has_details() const {
     const int closed = std::accumulate(clients_closed.begin(), clients_closed.end(), 0);
-    return retries + rejected + dials_postponed + accepts_postponed + closed > 0;
+    return retries + rejected + failed + dials_postponed + accepts_postponed + closed > 0;
   }
 };
 
--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -115,12 +115,15 @@
 
 void RequestDispatcher::LogDetails(const TrafficCounters& t) {
   auto closed = [&t](ClientClose why) { return t.clients_closed[static_cast<std::size_t>(why)]; };
+  auto given_up = [&t](balancer::GiveUpReason why) { return t.given_up[static_cast<std::size_t>(why)]; };
   log_.Important(
-      "details: %d retries; rejected %d without and %d after an attempt; clients closed: %d idle, %d early, "
-      "%d late "
+      "details: %d retries; rejected %d without and %d after an attempt; given up for: %d deadline, %d "
+      "expected wait, %d failed attempt; clients closed: %d idle, %d early, %d late "
       "request, %d not reading, %d malformed, %d too much pipelined, %d no memory; postponed: %d dials, %d "
       "accepts",
-      t.retries, t.rejected - t.rejected_after_attempt, t.rejected_after_attempt, closed(ClientClose::kIdle),
+      t.retries, t.rejected - t.rejected_after_attempt, t.rejected_after_attempt,
+      given_up(balancer::GiveUpReason::kDeadline), given_up(balancer::GiveUpReason::kExpectedWait),
+      given_up(balancer::GiveUpReason::kAttemptFailed), closed(ClientClose::kIdle),
       closed(ClientClose::kEarly), closed(ClientClose::kLateRequest), closed(ClientClose::kNotReading),
       closed(ClientClose::kMalformed), closed(ClientClose::kPipelined), closed(ClientClose::kNoMemory),
       t.dials_postponed, t.accepts_postponed);
@@ -426,7 +429,7 @@
   if (action.timeout <= 0) return OnAttemptEnded(key, AttemptOutcome::kTimedOut, nullptr);
   sent.timeout_timer = std::make_unique<Timer>(loop_);
   sent.timeout_timer->Set(action.timeout, [this, key] {
-    upstream_->Cancel(key);
+    upstream_->Cancel(key, CancelReason::kTimedOut);
     OnAttemptEnded(key, AttemptOutcome::kTimedOut, nullptr);
   });
   sent.write_by = sent.sent_at + action.write_timeout;
@@ -444,6 +447,7 @@
   if (sink != nullptr) {
     ++counters().rejected;
     if (has_attempts) ++counters().rejected_after_attempt;
+    ++counters().given_up[static_cast<std::size_t>(action.reason)];
     sink->OnRejected(action.retry_after);
   }
   EraseIfFinished(action.id);
@@ -453,6 +457,7 @@
   ResponseSink* sink = CloseRequest(action.id);
   if (sink != nullptr) {
     ++counters().failed;
+    ++counters().given_up[static_cast<std::size_t>(action.reason)];
     sink->OnFailed();
   }
   EraseIfFinished(action.id);
@@ -466,7 +471,7 @@
       !it->second.attempts[static_cast<std::size_t>(action.attempt)].in_flight) {
     return;  // it has ended since the action was issued
   }
-  upstream_->Cancel(key);
+  upstream_->Cancel(key, CancelReason::kDecided);
   OnAttemptEnded(key, AttemptOutcome::kCancelled, nullptr);
 }
 
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -77,11 +77,16 @@
   PayloadRef payload;
 };
 
+enum class CancelReason {
+  kTimedOut,  // no response in time
+  kDecided    // by the decision module: the request has ended, or the attempt is taken for lost
+};
+
 // Sends attempts to upstream servers. After Cancel, nothing more is reported about that attempt.
 class UpstreamTransport {
  public:
   virtual void Start(const Attempt& attempt) = 0;
-  virtual void Cancel(AttemptKey key) = 0;
+  virtual void Cancel(AttemptKey key, CancelReason reason) = 0;
   // Cancels an attempt unless its last byte has been written, so it cannot run. False: it is written or
   // unknown, and is not cancelled.
   virtual bool RevokeUnsent(AttemptKey key) = 0;
--- a/src/proxy/resource_log.cpp
+++ b/src/proxy/resource_log.cpp
@@ -1,6 +1,12 @@
 #include "proxy/resource_log.hpp"
 
-#include <sys/resource.h>
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+#include "io/file.hpp"
 
 namespace dappletiller {
 namespace {
@@ -11,9 +17,22 @@
 constexpr std::size_t kBytesPerMegabyte = std::size_t{1} << 20;
 constexpr std::size_t kBytesPerKilobyte = 1024;
 
+// The peak of this program (proc(5)); getrusage(2) counts what the process held before it executed the
+// program too. 0: not known for now.
 long PeakMemoryKilobytes() {
-  rusage usage{};
-  return ::getrusage(RUSAGE_SELF, &usage) == 0 ? usage.ru_maxrss : 0;
+  std::string status;
+  try {
+    status = ReadFile("/proc/self/status");
+  } catch (const std::system_error&) {
+    return 0;
+  }
+  constexpr std::string_view kField = "VmHWM:";
+  const std::size_t field = status.find(kField);
+  if (field == std::string::npos) return 0;
+  const std::size_t digits = status.find_first_of("0123456789", field);
+  long kilobytes = 0;
+  if (digits != std::string::npos) std::from_chars(&status[digits], status.data() + status.size(), kilobytes);
+  return kilobytes;
 }
 
 }  // namespace
@@ -25,7 +44,7 @@
 
 void ResourceLog::Write() {
   timer_.Set(kInterval, [this] { Write(); });
-  const long peak = PeakMemoryKilobytes();
+  const long peak = std::max(PeakMemoryKilobytes(), reported_peak_);
   const std::size_t connections = components_.descriptors.used();
   if (connections == 0 && peak == reported_peak_) return;
   reported_peak_ = peak;
--- a/src/rig/hollow.cpp
+++ b/src/rig/hollow.cpp
@@ -198,7 +198,7 @@
   });
 }
 
-void Hollow::Cancel(AttemptKey key) {
+void Hollow::Cancel(AttemptKey key, CancelReason) {
   auto it = out_.find(key);
   if (it == out_.end()) return;
   loop_.Cancel(it->second);
--- a/src/rig/hollow.hpp
+++ b/src/rig/hollow.hpp
@@ -148,7 +148,7 @@
   };
   static Config Placed(Config config, const HollowOptions& options);
   void Start(const Attempt& attempt) override;
-  void Cancel(AttemptKey key) override;
+  void Cancel(AttemptKey key, CancelReason) override;
   bool RevokeUnsent(AttemptKey) override { return false; }
   void SetEndpoint(ServerId worker, const Endpoint& endpoint) override;
   void StopUsing(ServerId worker) override;
--- a/src/rig/measure.cpp
+++ b/src/rig/measure.cpp
@@ -43,7 +43,7 @@
 class Answering final : public UpstreamTransport {
  public:
   void Start(const Attempt& attempt) override { out.push_back(attempt.key); }
-  void Cancel(AttemptKey key) override { std::erase(out, key); }
+  void Cancel(AttemptKey key, CancelReason) override { std::erase(out, key); }
   bool RevokeUnsent(AttemptKey) override { return false; }
   void SetEndpoint(ServerId, const Endpoint&) override {}
   void StopUsing(ServerId) override {}
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -16,6 +16,7 @@
 constexpr int kIdleTimeoutNumerator = 3;
 constexpr int kIdleTimeoutDenominator = 5;
 
+constexpr Micros kMicrosPerMilli = 1'000;
 constexpr Micros kRedialDelay = 5'000;  // while the machine is short of descriptors, memory or ports
 
 // Received data of each connection that is buffered even if the memory is used up.
@@ -56,6 +57,8 @@
     response_was_early_ = false;
     // The payload is an HTTP message: the pool serves no other protocol.
     request_ = std::static_pointer_cast<const http::Message>(attempt.payload);
+    request_id_ = request_ == nullptr ? "" : request_->Find("Request-Id").value_or("");
+    response_bytes_ = 0;
     deadline_ = pool_.loop_.Now() + attempt.timeout;
     if (!connected) return;
     Write();
@@ -93,6 +96,8 @@
 
   void OnReceived(std::size_t n) override {
     if (busy && !parser_.begun()) response_was_early_ = socket.UnacknowledgedBytes() > 0;
+    if (response_bytes_ == 0) first_byte_at_ = pool_.loop_.Now();
+    response_bytes_ += n;
     parser_.Commit(n);
     ProcessInput();
   }
@@ -102,12 +107,17 @@
     if (busy && parser_.done()) return ProcessInput();
     if (!busy) return pool_.CloseIdle(*this);
     if (written_ && !parser_.begun()) pool_.RecordReuse(idle_time, false);
+    pool_.LogPartialResponse(*this, "the connection ended");
     // A request that was not completely written cannot have run.
     pool_.Finish(*this, written_ ? AttemptOutcome::kReset : AttemptOutcome::kUnreachable, nullptr);
   }
 
   bool reusable() const { return reusable_ && socket.open(); }
   bool written() const { return written_; }
+  // Of the response to the current request.
+  std::size_t response_bytes() const { return response_bytes_; }
+  Micros first_byte_at() const { return first_byte_at_; }
+  const std::string& request_id() const { return request_id_; }
 
   ServerId server;
   Endpoint endpoint;
@@ -135,6 +145,9 @@
       return pool_.CloseIdle(*this);
     }
     if (parser_.bad()) {
+      pool_.LogPartialResponse(*this, parser_.error_status() == 503   ? "no memory for a long body"
+                                      : parser_.error_status() == 413 ? "its body is too long"
+                                                                      : "it is malformed");
       socket.Close();
       return pool_.Finish(*this, written_ ? AttemptOutcome::kReset : AttemptOutcome::kUnreachable, nullptr);
     }
@@ -166,6 +179,9 @@
   MemoryBudget::Reservation memory_;  // for what the parser has buffered, and the rest of the response
   bool waits_for_memory_ = false;     // nothing is read meanwhile
   http::MessageRef request_;          // until it is written
+  std::string request_id_;            // of the current or last request
+  std::size_t response_bytes_ = 0;    // received for it
+  Micros first_byte_at_ = 0;          // of these
   Micros deadline_ = 0;
   bool written_ = false;
   // The current response began before the server's kernel had the whole request, so it belongs to an earlier
@@ -328,8 +344,15 @@
   return false;
 }
 
-// Cancelling closes the connection: the server stops working on the request then.
-void UpstreamPool::Cancel(AttemptKey key) {
+void UpstreamPool::Cancel(AttemptKey key, CancelReason reason) {
+  auto it = busy_.find(key);
+  if (it == busy_.end()) return;
+  LogPartialResponse(*it->second, reason == CancelReason::kTimedOut ? "no time left" : "cancelled");
+  Stop(key);
+}
+
+// Closes the connection: the server stops working on the request then.
+void UpstreamPool::Stop(AttemptKey key) {
   auto it = busy_.find(key);
   if (it == busy_.end()) return;
   std::unique_ptr<Connection> connection = std::move(it->second);
@@ -340,7 +363,7 @@
 bool UpstreamPool::RevokeUnsent(AttemptKey key) {
   auto it = busy_.find(key);
   if (it == busy_.end() || it->second->written()) return false;
-  Cancel(key);
+  Stop(key);
   return true;
 }
 
@@ -398,6 +421,16 @@
   Discard(std::move(owned));
 }
 
+// Tells of a response that had begun and is not passed on.
+void UpstreamPool::LogPartialResponse(const Connection& connection, const char* reason) {
+  const std::size_t received = connection.response_bytes();
+  if (received == 0) return;
+  const Micros since_first_byte = loop_.Now() - connection.first_byte_at();
+  log_.Info("upstream: response to %s from server %u ended after %zu bytes in %lld ms: %s",
+            connection.request_id().c_str(), connection.server, received,
+            static_cast<long long>(since_first_byte / kMicrosPerMilli), reason);
+}
+
 void UpstreamPool::Discard(std::unique_ptr<Connection> connection) {
   connection->socket.Close();
   connection->timer.Clear();
--- a/src/upstream/upstream_pool.hpp
+++ b/src/upstream/upstream_pool.hpp
@@ -35,7 +35,7 @@
   ~UpstreamPool();
 
   void Start(const Attempt& attempt) override;
-  void Cancel(AttemptKey key) override;
+  void Cancel(AttemptKey key, CancelReason reason) override;
   bool RevokeUnsent(AttemptKey key) override;
   void SetEndpoint(ServerId server, const Endpoint& endpoint) override;
   void StopUsing(ServerId server) override;
@@ -72,6 +72,8 @@
   void StartIdleTimeout(Connection& connection);
   void CloseIdle(Connection& connection);
   void Discard(std::unique_ptr<Connection> connection);
+  void Stop(AttemptKey key);
+  void LogPartialResponse(const Connection& connection, const char* reason);
 
   EventLoop& loop_;
   Log& log_;
