--- a/tests/fault_injection/process_fault_test.cpp
+++ b/tests/fault_injection/process_fault_test.cpp
@@ -6,24 +6,11 @@
 #include <utility>
 #include <vector>
 
-#include "net/program.hpp"
-#include "net/support.hpp"
+#include "fault_injection/process_support.hpp"
 
 namespace dappletiller::testing {
 namespace {
 
-using Environment = std::vector<std::pair<std::string, std::string>>;
-
-// Freed memory must not count for long, or the sanitizer's own would hide the program's.
-constexpr const char* kSanitizerOptions = "verify_asan_link_order=0:quarantine_size_mb=1";
-
-Environment WithFaults(const std::string& rules, const std::string& seed = "1") {
-  return {{"LD_PRELOAD", DAPPLETILLER_SYSCALL_FAULTS},
-          {"ASAN_OPTIONS", kSanitizerOptions},
-          {"DAPPLETILLER_FAULTS", rules},
-          {"DAPPLETILLER_FAULT_SEED", seed}};
-}
-
 TEST_CASE("a system call that fails for a moment ends the start") {
   const std::vector<std::string> faults = {"epoll_create1:ENFILE:count=2",
                                            "epoll_create1:ENOMEM:count=2",
@@ -60,12 +47,6 @@
 // A client may send so much ahead of an answer (README of the protocol: 64 KiB of body, and a head).
 constexpr std::size_t kPipelined = 80'000;
 
-std::string Repeat(const std::string& text, std::size_t total) {
-  std::string all;
-  while (all.size() + text.size() <= total) all += text;
-  return all;
-}
-
 // One client may cost a process a small multiple of what it has sent, and the allocator's slack.
 constexpr std::size_t kMaxGrowthKilobytes = 8 * kPipelined / 1024 + 6 * 1024;
 
@@ -101,11 +82,6 @@
   CHECK(program.PeakMemoryKilobytes() - before <= kMaxGrowthKilobytes);
 }
 
-void Replace(std::string* text, const std::string& what, const std::string& with) {
-  REQUIRE(text->find(what) != std::string::npos);
-  text->replace(text->find(what), what.size(), with);
-}
-
 TEST_CASE("many clients' half-written requests exceed the memory limit") {
   constexpr std::size_t kMemoryKilobytes =
       48 * 1024;  // the least that is deployed, with the most descriptors
@@ -226,17 +202,6 @@
   CHECK(program.PeakMemoryKilobytes() - before <= kMaxGrowthKilobytes);
 }
 
-// Sends a request and expects the server's answer to it.
-void ExpectServed(ProxyFixture& fixture, std::uint16_t port, TestServer& server, const std::string& id,
-                  const std::string& answer_header = "") {
-  TestConnection client = TestConnection::Connect(port);
-  client.Send(SafeRequest(id));
-  TestConnection& at = fixture.WaitForRequest(server, id);
-  at.text.clear();
-  at.Send(Response(200, "body of " + id, answer_header));
-  fixture.WaitForData(client, "body of " + id);
-}
-
 TEST_CASE("a shortage at a dial is held against the server") {
   const std::vector<std::string> faults = {"socket:ENFILE:skip=2,count=6",
                                            "socket:ENOBUFS:skip=2,count=6",
