Move the connection classes out of the listener and the pool

They are files of their own now, and what a request must look like is a pure function (incoming_request). Requests are checked in another order: one with both an id that is open and a malformed timeout gets 400, not 409. Otherwise nothing changes.

Measured: the 174 network tests pass (sanitizers' build).

--- a/src/downstream/listener.hpp
+++ b/src/downstream/listener.hpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -79,6 +80,7 @@
   using ConnectionMap = std::unordered_map<limits::ConnectionAdmission::Id, std::unique_ptr<Connection>>;
 
   void OnReady(std::uint32_t events) override;
+  int FindTenant(std::string_view name) const;  // -1: unknown
   void Accept();
   void RetryAccept();
   void CountClose(ClientClose why);
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -5,8 +5,7 @@
 
 #include "base/memory_budget.hpp"
 #include "base/payload.hpp"
-#include "http/parser.hpp"
-#include "http/writer.hpp"
+#include "upstream/connection.hpp"
 
 namespace dappletiller {
 namespace {
@@ -19,9 +18,6 @@
 constexpr Micros kMicrosPerMilli = 1'000;
 constexpr Micros kRedialDelay = 5'000;  // while the machine is short of descriptors, memory or ports
 
-// Received data of each connection that is buffered even if the memory is used up.
-constexpr std::size_t kGuaranteedBytes = std::size_t{2} * 1024;
-
 constexpr Micros kDecayInterval = 10'000'000;
 constexpr int kMaxIdleInspected = 8;  // idle connections inspected for one attempt
 // A server that has sent more than one response to a request may do so again, some milliseconds later. For a
@@ -29,167 +25,8 @@
 constexpr Micros kExtraDataCaution = 60'000'000;
 constexpr Micros kExtraDataIdleTime = 50'000;
 
-AttemptOutcome OutcomeOf(const http::Message& response) {
-  if (response.status() == 200) return AttemptOutcome::kAnswered;
-  bool not_run = response.status() == 503 || response.status() == 504;
-  if (not_run && response.Find("Not-Started") == "1") return AttemptOutcome::kRejected;
-  return AttemptOutcome::kError;
-}
-
 }  // namespace
 
-// One connection.
-class UpstreamPool::Connection final : public StreamSocket::Callbacks {
- public:
-  Connection(UpstreamPool& pool, ServerId server, const Endpoint& endpoint)
-      : server(server),
-        endpoint(endpoint),
-        timer(pool.loop_),
-        socket(pool.loop_, *this),
-        pool_(pool),
-        parser_(http::Parser::Kind::kResponse, http::kMaxBodySize, pool.long_bodies_),
-        memory_(pool.response_memory_) {}
-
-  void Send(const Attempt& attempt) {
-    key = attempt.key;
-    busy = true;
-    written_ = false;
-    response_was_early_ = false;
-    // The payload is an HTTP message: the pool serves no other protocol.
-    request_ = std::static_pointer_cast<const http::Message>(attempt.payload);
-    request_id_ = request_ == nullptr ? "" : request_->Find("Request-Id").value_or("");
-    response_bytes_ = 0;
-    deadline_ = pool_.loop_.Now() + attempt.timeout;
-    if (!connected) return;
-    Write();
-    socket.Flush();
-  }
-
-  std::span<char> ReceiveBuffer() override {
-    if (ReserveMemory()) return parser_.ReceiveBuffer();
-    if (!waits_for_memory_) pool_.WaitForMemory(key);
-    waits_for_memory_ = true;
-    return {};
-  }
-
-  // Reserves memory for the whole response as soon as its size is known, so that each one that has begun can
-  // be completed.
-  bool ReserveMemory() {
-    if (!memory_.has_budget()) return true;
-    const std::size_t expected = parser_.expected_size();
-    memory_.GrowUnconditionallyTo(std::max(kGuaranteedBytes, parser_.buffered()));
-    return memory_.GrowTo(expected);
-  }
-
-  void ResumeReading() {
-    waits_for_memory_ = false;
-    socket.ResumeReading();
-  }
-
-  void OnConnected() override {
-    connected = true;
-    timer.Clear();
-    Write();
-  }
-  bool MayWrite() override { return pool_.dispatcher_.MayWrite(key); }
-  void OnFlushed() override { written_ = true; }
-
-  void OnReceived(std::size_t n) override {
-    if (busy && !parser_.begun()) response_was_early_ = socket.UnacknowledgedBytes() > 0;
-    if (response_bytes_ == 0) first_byte_at_ = pool_.loop_.Now();
-    response_bytes_ += n;
-    parser_.Commit(n);
-    ProcessInput();
-  }
-
-  void OnClosed(StreamEnd how) override {
-    if (how == StreamEnd::kOrderly) parser_.OnStreamEnd();
-    if (busy && parser_.done()) return ProcessInput();
-    if (!busy) return pool_.CloseIdle(*this);
-    if (written_ && !parser_.begun()) pool_.RecordReuse(idle_time, false);
-    pool_.LogPartialResponse(*this, "the connection ended");
-    // A request that was not completely written cannot have run.
-    pool_.Finish(*this, written_ ? AttemptOutcome::kReset : AttemptOutcome::kUnreachable, nullptr);
-  }
-
-  bool reusable() const { return reusable_ && socket.open(); }
-  bool written() const { return written_; }
-  // Of the response to the current request.
-  std::size_t response_bytes() const { return response_bytes_; }
-  Micros first_byte_at() const { return first_byte_at_; }
-  const std::string& request_id() const { return request_id_; }
-
-  ServerId server;
-  Endpoint endpoint;
-  AttemptKey key;
-  bool busy = false;
-  bool connected = false;  // bytes may have been sent
-  Timer timer;             // connect or idle timeout
-  StreamSocket socket;
-  ConnectionList::iterator position;  // while idle
-  Micros idle_since = 0;
-  Micros idle_time = -1;  // before the current attempt; -1 on a new connection
-
- private:
-  // Called once the connection is established: the request states the time left, which the connecting has
-  // reduced.
-  void Write() {
-    http::WriteRequest(request_, deadline_ - pool_.loop_.Now(), &socket.output());
-    request_ = nullptr;
-  }
-
-  void ProcessInput() {
-    if (!busy) {  // unsolicited data could be mistaken for the next response
-      pool_.RecordExtraData(server);
-      socket.Close();
-      return pool_.CloseIdle(*this);
-    }
-    if (parser_.bad()) {
-      pool_.LogPartialResponse(*this, parser_.error_status() == 503   ? "no memory for a long body"
-                                      : parser_.error_status() == 413 ? "its body is too long"
-                                                                      : "it is malformed");
-      socket.Close();
-      return pool_.Finish(*this, written_ ? AttemptOutcome::kReset : AttemptOutcome::kUnreachable, nullptr);
-    }
-    if (!parser_.done()) return;
-    memory_.ShrinkTo(parser_.expected_size());
-    http::MessageRef response =
-        parser_.TakeMessage(std::exchange(memory_, MemoryBudget::Reservation(pool_.response_memory_)));
-    // After a response that precedes the end of the request, part of the request is still on the connection.
-    reusable_ = response->keep_alive() && written_ && !parser_.begun();
-    if (parser_.begun()) pool_.RecordExtraData(server);
-    AttemptOutcome end = OutcomeOf(*response);
-    // The response belongs to an earlier request. This one may run, so it is not retried; its response
-    // follows or has been received.
-    if (response_was_early_ && written_ && end == AttemptOutcome::kAnswered) {
-      pool_.RecordExtraData(server);
-      response_was_early_ = false;
-      if (socket.open()) return ProcessInput();
-      end = AttemptOutcome::kReset;
-    }
-    // A server begins a request after its last byte. Before that, any response but a rejection belongs to an
-    // earlier request and must not be forwarded.
-    if (!written_ && end != AttemptOutcome::kRejected) end = AttemptOutcome::kUnreachable;
-    pool_.RecordReuse(idle_time, true);
-    pool_.Finish(*this, end, std::move(response));
-  }
-
-  UpstreamPool& pool_;
-  http::Parser parser_;
-  MemoryBudget::Reservation memory_;  // for what the parser has buffered, and the rest of the response
-  bool waits_for_memory_ = false;     // nothing is read meanwhile
-  http::MessageRef request_;          // until it is written
-  std::string request_id_;            // of the current or last request
-  std::size_t response_bytes_ = 0;    // received for it
-  Micros first_byte_at_ = 0;          // of these
-  Micros deadline_ = 0;
-  bool written_ = false;
-  // The current response began before the server's kernel had the whole request, so it belongs to an earlier
-  // request, possibly of another client.
-  bool response_was_early_ = false;
-  bool reusable_ = false;
-};
-
 UpstreamPool::UpstreamPool(EventLoop& loop, Log& log, RequestDispatcher& dispatcher,
                            DescriptorLimit& descriptors, const UpstreamLimits& limits,
                            std::shared_ptr<MemoryBudget> long_bodies,
