--- a/src/dispatch/counters.hpp
+++ b/src/dispatch/counters.hpp
@@ -19,6 +19,7 @@
   kMalformed,    // its request was malformed, contradictory or too large
   kPipelined,    // it sent more ahead of a response than is kept
   kNoMemory,     // there was no memory for its request
+  kResponseCut,  // its server did not complete a response that had begun
   kCount
 };
 
@@ -35,6 +36,8 @@
   int discovery_failures = 0;
   int retries = 0;
   int rejected_after_attempt = 0;  // of `rejected`
+  int responses_streamed = 0;      // of `served`: passed on while they were received
+  int responses_cut = 0;           // of these, in this or an earlier period: not completed by their server
   int accepts_postponed = 0;       // since this machine was short of descriptors or memory
   // Rejected and failed requests, indexed by balancer::GiveUpReason.
   std::array<int, static_cast<std::size_t>(balancer::GiveUpReason::kCount)> given_up{};
@@ -48,7 +51,9 @@
   // Whether the line of details has anything to tell.
   bool has_details() const {
     const int closed = std::accumulate(clients_closed.begin(), clients_closed.end(), 0);
-    return retries + rejected + failed + dials_postponed + accepts_postponed + closed > 0;
+    return retries + rejected + failed + responses_streamed + responses_cut + dials_postponed +
+               accepts_postponed + closed >
+           0;
   }
 };
 
--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -119,14 +119,16 @@
   log_.Important(
       "details: %d retries; rejected %d without and %d after an attempt; given up for: %d deadline, %d "
       "expected wait, %d failed attempt; clients closed: %d idle, %d early, %d late "
-      "request, %d not reading, %d malformed, %d too much pipelined, %d no memory; postponed: %d dials, %d "
-      "accepts",
+      "request, %d not reading, %d malformed, %d too much pipelined, %d no memory, %d response cut; "
+      "responses passed "
+      "on as received: %d begun, %d cut by servers; postponed: %d dials, %d accepts",
       t.retries, t.rejected - t.rejected_after_attempt, t.rejected_after_attempt,
       given_up(balancer::GiveUpReason::kDeadline), given_up(balancer::GiveUpReason::kExpectedWait),
       given_up(balancer::GiveUpReason::kAttemptFailed), closed(ClientClose::kIdle),
       closed(ClientClose::kEarly), closed(ClientClose::kLateRequest), closed(ClientClose::kNotReading),
       closed(ClientClose::kMalformed), closed(ClientClose::kPipelined), closed(ClientClose::kNoMemory),
-      t.dials_postponed, t.accepts_postponed);
+      closed(ClientClose::kResponseCut), t.responses_streamed, t.responses_cut, t.dials_postponed,
+      t.accepts_postponed);
 }
 
 // Executing an action may cause the next event immediately, such as a refused connection. That event is
@@ -284,11 +286,32 @@
 }
 
 void RequestDispatcher::OnAttemptEnded(AttemptKey key, AttemptOutcome outcome, PayloadRef response) {
+  EndAttempt(key, outcome, [&](ResponseSink& sink) { sink.OnResponse(std::move(response)); });
+}
+
+bool RequestDispatcher::OnResponseStarted(AttemptKey key, PayloadRef head, std::shared_ptr<BodyStream> body) {
+  return EndAttempt(key, AttemptOutcome::kAnswered, [&](ResponseSink& sink) {
+    ++counters().responses_streamed;
+    sink.OnResponseStarted(std::move(head), std::move(body));
+  });
+}
+
+RequestDispatcher::SentAttempt* RequestDispatcher::FindInFlight(AttemptKey key) {
   auto it = requests_.find(key.request);
-  if (it == requests_.end() || key.number >= static_cast<int>(it->second.attempts.size())) return;
+  if (it == requests_.end() || key.number < 0 || key.number >= static_cast<int>(it->second.attempts.size()))
+    return nullptr;
   SentAttempt& sent = it->second.attempts[static_cast<std::size_t>(key.number)];
-  // The module must receive exactly one outcome for each attempt.
-  if (!sent.in_flight) return;
+  return sent.in_flight ? &sent : nullptr;
+}
+
+// The module must receive exactly one outcome for each attempt. Calls `respond` with the client's sink if the
+// outcome is a response that the client still waits for, and returns whether it is.
+template <typename Respond>
+bool RequestDispatcher::EndAttempt(AttemptKey key, AttemptOutcome outcome, Respond respond) {
+  SentAttempt* found = FindInFlight(key);
+  if (found == nullptr) return false;
+  SentAttempt& sent = *found;
+  auto it = requests_.find(key.request);
   sent.in_flight = false;
   sent.timeout_timer.reset();
   sent.write_timer.reset();
@@ -304,11 +327,12 @@
   event.request_finished = it->second.sink == nullptr;
   if (sink != nullptr) {
     ++counters().served;
-    sink->OnResponse(std::move(response));
+    respond(*sink);
   }
   Deliver(std::move(event));
   if (sink != nullptr) RevokeUnsentAttempts(key.request);
   EraseIfFinished(key.request);
+  return sink != nullptr;
 }
 
 void RequestDispatcher::OnEndpointUpdate(const EndpointList& list) {
@@ -465,12 +489,10 @@
 
 void RequestDispatcher::Execute(const balancer::Cancel& action) {
   AttemptKey key{action.id, action.attempt};
-  auto it = requests_.find(action.id);
-  if (it == requests_.end() || action.attempt < 0 ||
-      action.attempt >= static_cast<int>(it->second.attempts.size()) ||
-      !it->second.attempts[static_cast<std::size_t>(action.attempt)].in_flight) {
-    return;  // it has ended since the action was issued
-  }
+  if (FindInFlight(key) == nullptr) return;  // it has ended since the action was issued
+  // The module takes an attempt for lost; it is not told of a response before that is complete.
+  const bool client_waits = requests_.at(action.id).sink != nullptr;
+  if (client_waits && upstream_->StartResponse(key)) return;
   upstream_->Cancel(key, CancelReason::kDecided);
   OnAttemptEnded(key, AttemptOutcome::kCancelled, nullptr);
 }
--- a/src/dispatch/request_dispatcher.hpp
+++ b/src/dispatch/request_dispatcher.hpp
@@ -49,6 +49,9 @@
   bool MayWrite(AttemptKey key);
   // From the upstream transport: an attempt has ended. Unknown attempts are ignored.
   void OnAttemptEnded(AttemptKey key, AttemptOutcome outcome, PayloadRef response);
+  // From the upstream transport: the attempt has a response, which is passed on as it is received. To the
+  // module the attempt has ended. False: nobody waits for the response any more.
+  bool OnResponseStarted(AttemptKey key, PayloadRef head, std::shared_ptr<BodyStream> body);
   // From discovery.
   void OnEndpointUpdate(const EndpointList& list);
   // From the quota leases: this proxy's share of the quotas, and until when it is valid.
@@ -115,6 +118,9 @@
   void Execute(const balancer::Watch& action);
   void Execute(const balancer::FetchList& action);
   void Execute(const balancer::Log& action);
+  SentAttempt* FindInFlight(AttemptKey key);
+  template <typename Respond>
+  bool EndAttempt(AttemptKey key, AttemptOutcome outcome, Respond respond);
   ResponseSink* CloseRequest(RequestId id);
   void RevokeUnsentAttempts(RequestId id);
   void RevokeUnsentAttempt(AttemptKey key);
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "base/endpoint.hpp"
 #include "base/payload.hpp"
 #include "base/time.hpp"
+#include "dispatch/body_stream.hpp"
 
 namespace dappletiller {
 
@@ -31,10 +33,12 @@
   Micros answer_by = 0;
 };
 
-// Receives a request's final outcome. Exactly one of the first three functions is called, once.
+// Receives a request's final outcome. Exactly one of the first four functions is called, once.
 class ResponseSink {
  public:
   virtual void OnResponse(PayloadRef response) = 0;
+  // The response has begun: its head, and the body as it is received. The sink attaches itself to `body`.
+  virtual void OnResponseStarted(PayloadRef head, std::shared_ptr<BodyStream> body) = 0;
   virtual void OnRejected(Micros retry_after) = 0;  // 0: no Retry-After
   virtual void OnFailed() = 0;
   // Whether the client has disconnected according to the kernel, even if the end of stream has not been read
@@ -87,6 +91,9 @@
  public:
   virtual void Start(const Attempt& attempt) = 0;
   virtual void Cancel(AttemptKey key, CancelReason reason) = 0;
+  // If the attempt's response has begun, and its server still sends it: passes it on from now on, as after
+  // OnResponseStarted. False: it has not, or the server has paused.
+  virtual bool StartResponse(AttemptKey key) = 0;
   // Cancels an attempt unless its last byte has been written, so it cannot run. False: it is written or
   // unknown, and is not cancelled.
   virtual bool RevokeUnsent(AttemptKey key) = 0;
--- a/src/downstream/connection.cpp
+++ b/src/downstream/connection.cpp
@@ -6,7 +6,6 @@
 
 #include "base/payload.hpp"
 #include "downstream/incoming_request.hpp"
-#include "http/writer.hpp"
 
 namespace dappletiller {
 namespace {
@@ -77,6 +76,7 @@
   timer_.Clear();
   continue_.Clear();
   socket.Close();
+  if (const auto body = std::exchange(body_, nullptr)) body->Abandon();
   if (std::exchange(state_, State::kClosing) != State::kWaiting) return;
   ReleaseRequestId();
   listener_.dispatcher_.OnClientDisconnected(dispatched_id_);
@@ -182,6 +182,7 @@
   const http::MessageRef request = parser_.TakeMessage(reservation_.Split(parser_.expected_size()));
   last_byte_at_ = received_.Take(buffered - parser_.buffered());
   keep_alive_ = request->keep_alive();
+  client_is_http10_ = request->http10();
   awaiting_first_request_ = false;
   if (request->path() == "/up") {
     AnswerHealthCheck();
@@ -234,6 +235,40 @@
   StartWriting();
 }
 
+void DownstreamListener::Connection::OnResponseStarted(PayloadRef head, std::shared_ptr<BodyStream> body) {
+  const auto message = std::static_pointer_cast<const http::Message>(std::move(head));
+  BeginResponse();
+  framing_ = ChooseFraming(*message);
+  if (framing_ == http::BodyFraming::kUntilEnd) keep_alive_ = false;
+  http::WriteResponseHead(message, framing_, keep_alive_, &socket.output());
+  body_ = std::move(body);
+  body_->Attach(*this);
+  StartWriting();
+}
+
+http::BodyFraming DownstreamListener::Connection::ChooseFraming(const http::Message& head) const {
+  if (head.content_length()) return http::BodyFraming::kLength;
+  return client_is_http10_ ? http::BodyFraming::kUntilEnd : http::BodyFraming::kChunked;
+}
+
+void DownstreamListener::Connection::OnBody(std::string part, MemoryBudget::Reservation memory) {
+  http::WriteBodyPart(std::move(part), std::move(memory), framing_, &socket.output());
+  socket.Flush();
+}
+
+void DownstreamListener::Connection::OnBodyEnd(bool complete) {
+  body_ = nullptr;
+  if (!complete) {
+    listener_.CountClose(ClientClose::kResponseCut);
+    // An orderly end would make the body look complete.
+    if (framing_ == http::BodyFraming::kUntilEnd) socket.Abort();
+    return listener_.Remove(*this);
+  }
+  http::WriteBodyEnd(framing_, &socket.output());
+  if (socket.output().empty()) return FinishResponse();
+  socket.Flush();
+}
+
 void DownstreamListener::Connection::OnRejected(Micros retry_after) {
   SendStatus(kServiceUnavailable, "overloaded, try again later", retry_after);
 }
@@ -259,6 +294,11 @@
 
 void DownstreamListener::Connection::OnFlushed() {
   if (state_ != State::kWriting) return;
+  if (body_ != nullptr) return body_->Resume();
+  FinishResponse();
+}
+
+void DownstreamListener::Connection::FinishResponse() {
   if (!keep_alive_) {
     state_ = State::kClosing;
     socket.ShutdownWrite();
@@ -286,10 +326,12 @@
 // while the kernel still holds part of a response would lose that part: the client's next byte resets the
 // connection.
 void DownstreamListener::Connection::CloseUnlessProgress(Micros span) {
-  const std::size_t before = socket.UnacknowledgedBytes();
+  const std::uint64_t before = socket.AcknowledgedBytes();
   timer_.Set(span, [this, span, before] {
-    const std::size_t unacknowledged = socket.UnacknowledgedBytes();
-    if (unacknowledged > 0 && unacknowledged < before) return CloseUnlessProgress(span);
+    const bool has_all = socket.UnacknowledgedBytes() == 0;
+    const bool waits_for_server = has_all && body_ != nullptr;
+    const bool progresses = !has_all && socket.AcknowledgedBytes() > before;
+    if (waits_for_server || progresses) return CloseUnlessProgress(span);
     if (state_ == State::kWriting) {
       listener_.CountClose(ClientClose::kNotReading);
       return listener_.Remove(*this);
--- a/src/downstream/connection.hpp
+++ b/src/downstream/connection.hpp
@@ -4,6 +4,7 @@
 #define DAPPLETILLER_DOWNSTREAM_CONNECTION_HPP_
 
 #include <cstddef>
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
@@ -14,13 +15,16 @@
 #include "downstream/receive_times.hpp"
 #include "http/message.hpp"
 #include "http/parser.hpp"
+#include "http/writer.hpp"
 #include "io/event_loop.hpp"
 #include "io/stream_socket.hpp"
 #include "limits/connection_admission.hpp"
 
 namespace dappletiller {
 
-class DownstreamListener::Connection final : public StreamSocket::Callbacks, public ResponseSink {
+class DownstreamListener::Connection final : public StreamSocket::Callbacks,
+                                             public ResponseSink,
+                                             private BodySink {
  public:
   Connection(DownstreamListener& listener, limits::ConnectionAdmission::Id id);
 
@@ -29,6 +33,8 @@
   // time.
   void StartReceiveTimeout();
 
+  // A response is passed on as it is received.
+  bool streaming() const { return body_ != nullptr; }
   bool idle() const { return state_ == State::kReading && !parser_.begun(); }
 
   // Closes the connection if it is unused and no request is being received. Reads nothing: a request found
@@ -47,6 +53,7 @@
 
   // ResponseSink
   void OnResponse(PayloadRef response) override;
+  void OnResponseStarted(PayloadRef head, std::shared_ptr<BodyStream> body) override;
   void OnRejected(Micros retry_after) override;
   void OnFailed() override;
   bool ClientHasDisconnected() const override { return socket.PeerHasClosed(); }
@@ -69,9 +76,16 @@
   void DispatchRequest(const http::MessageRef& request);
   void ReleaseRequestId() { listener_.open_request_ids_.erase(request_id_); }
 
+  // BodySink
+  bool ReadyForBody() const override { return socket.output().empty(); }
+  void OnBody(std::string part, MemoryBudget::Reservation memory) override;
+  void OnBodyEnd(bool complete) override;
+
   void BeginResponse();
+  http::BodyFraming ChooseFraming(const http::Message& head) const;
   bool NextRequestStarted();
   void StartWriting();
+  void FinishResponse();
   void CloseUnlessProgress(Micros span);
   void SendStatus(int status, std::string_view text, Micros retry_after);
   void Reject(int status, std::string_view text, ClientClose why = ClientClose::kMalformed);
@@ -89,8 +103,11 @@
   MemoryBudget::Reservation reservation_;  // for what the parser has buffered
   bool awaiting_first_request_ = true;     // no complete request yet
   bool keep_alive_ = true;
-  bool processing_ = false;         // within ProcessInput
-  bool pipeline_overflow_ = false;  // pipelined data exceeded the limit
+  bool client_is_http10_ = false;                           // according to the request taken last
+  std::shared_ptr<BodyStream> body_;                        // the rest of the response that is being written
+  http::BodyFraming framing_ = http::BodyFraming::kLength;  // of that response
+  bool processing_ = false;                                 // within ProcessInput
+  bool pipeline_overflow_ = false;                          // pipelined data exceeded the limit
 };
 
 }  // namespace dappletiller
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -6,6 +6,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <system_error>
@@ -171,6 +172,11 @@
   accept_retry_.Set(kAcceptRetryDelay, [this] { Accept(); });
 }
 
+std::size_t DownstreamListener::streaming_connections() const {
+  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                [](const auto& entry) { return entry.second->streaming(); }));
+}
+
 void DownstreamListener::CountClose(ClientClose why) {
   ++dispatcher_.counters().clients_closed[static_cast<std::size_t>(why)];
 }
--- a/src/downstream/listener.hpp
+++ b/src/downstream/listener.hpp
@@ -67,6 +67,8 @@
   void Close();
   bool closed() const { return closed_; }
   std::size_t connections() const { return connections_.size(); }
+  // Connections whose response is passed on as it is received.
+  std::size_t streaming_connections() const;
   // Sets the number of connection slots; excess connections are closed when they become idle.
   void SetConnectionSlots(std::size_t slots) { admission_.Resize(slots); }
   // Returns the index of a tenant, adding it if necessary.
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -26,6 +26,10 @@
   std::string_view body() const { return View(body_); }
   // Whether the connection may carry another message after this one.
   bool keep_alive() const { return keep_alive_; }
+  // Of the body; nothing if it is chunked or ends with the stream.
+  std::optional<std::uint64_t> content_length() const { return content_length_; }
+  // The sender speaks HTTP/1.0, which has no chunks.
+  bool http10() const { return http10_; }
 
   // The value of the first header with that name, ignoring case.
   std::optional<std::string_view> Find(std::string_view name) const;
@@ -55,6 +59,8 @@
   Part body_;
   int status_ = 0;
   bool keep_alive_ = true;
+  bool http10_ = false;
+  std::optional<std::uint64_t> content_length_;
   std::vector<Header> headers_;
   MemoryBudget::Reservation memory_;     // for the message up to the parser's limit
   MemoryBudget::Reservation long_body_;  // for the part of the body above the parser's limit
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::size_t kMinReceiveBuffer = 2048;
-constexpr std::size_t kMaxReceiveBuffer = std::size_t{16} * 1024;
 constexpr std::size_t kMaxChunkLineSize = 256;
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
@@ -44,17 +43,19 @@
 
 // ---- Bytes in, messages out ----
 
-std::span<char> Parser::ReceiveBuffer() {
-  if (done() || bad()) return {};
+std::span<char> Parser::ReceiveBuffer(std::size_t max_size) {
+  if (done() || bad() || must_stream_) return {};
   std::string& bytes = message_->bytes_;
-  std::size_t wanted = kMinReceiveBuffer;
+  std::size_t wanted = std::min(kMinReceiveBuffer, max_size);
+  if (streaming_) wanted = max_size;
   if (state_ == State::kSizedBody) {
-    wanted = std::clamp(remaining_, std::size_t{1}, kMaxReceiveBuffer);
-    bytes.reserve(received_ + remaining_);  // instead of growing to up to twice the size
+    wanted = std::clamp(remaining_, std::size_t{1}, max_size);
+    // Instead of growing to up to twice the size.
+    if (!streaming_) bytes.reserve(received_ + remaining_);
   }
   const std::size_t room = bytes.size() - received_;
   if (room < wanted / 2 || room == 0) bytes.resize(received_ + wanted);
-  return {bytes.data() + received_, bytes.size() - received_};
+  return {bytes.data() + received_, std::min(bytes.size() - received_, max_size)};
 }
 
 void Parser::Commit(std::size_t count) {
@@ -98,11 +99,47 @@
   MessageRef taken = std::exchange(message_, std::make_unique<Message>());
   state_ = State::kHead;
   received_ = scanned_ = next_ = body_end_ = remaining_ = trailer_size_ = 0;
-  http10_ = wants_continue_ = false;
+  streamed_ = 0;
+  wants_continue_ = must_stream_ = streaming_ = false;
   ParsePending();
   return taken;
 }
 
+// What follows the head moves to a new message, which holds only bytes of the body.
+MessageRef Parser::TakeHead(MemoryBudget::Reservation memory) {
+  message_->memory_ = std::move(memory);
+  const std::size_t head_end = message_->body_.at;
+  auto rest = std::make_unique<Message>();
+  rest->bytes_ = std::move(message_->bytes_);
+  message_->bytes_.assign(rest->bytes_, 0, head_end);
+  rest->bytes_.erase(0, head_end);
+  received_ -= head_end;
+  next_ -= head_end;
+  body_end_ -= head_end;
+  must_stream_ = false;
+  streaming_ = true;
+  MessageRef head = std::exchange(message_, std::move(rest));
+  ParsePending();
+  return head;
+}
+
+std::string Parser::TakeBody() {
+  std::string& bytes = message_->bytes_;
+  streamed_ += body_end_;
+  std::string part;
+  if (body_end_ == received_) {
+    bytes.resize(received_);
+    part = std::exchange(bytes, {});
+  } else {
+    part.assign(bytes, 0, body_end_);
+    bytes.erase(0, body_end_);
+  }
+  received_ -= body_end_;
+  next_ -= body_end_;
+  body_end_ = 0;
+  return part;
+}
+
 // Takes the bytes behind a complete message out of it: they belong to the next one, and the message may be
 // kept for long.
 void Parser::ReturnToPending() {
@@ -225,7 +262,7 @@
     version = line.substr(second_space + 1);
   }
   if (version != "HTTP/1.1" && version != "HTTP/1.0") return false;
-  http10_ = version == "HTTP/1.0";
+  message_->http10_ = version == "HTTP/1.0";
 
   const std::size_t middle_size = std::min(second_space, line.size()) - first_space - 1;
   if (kind_ == Kind::kResponse) return ParseStatusLine(line.substr(first_space + 1, middle_size));
@@ -275,15 +312,16 @@
       framing->close = framing->close || HasToken(value, "close");
       framing->keep_alive = framing->keep_alive || HasToken(value, "keep-alive");
     } else if (EqualsIgnoringCase(name, "Expect") && kind_ == Kind::kRequest) {
-      wants_continue_ = HasToken(value, "100-continue") && !http10_;
+      wants_continue_ = HasToken(value, "100-continue") && !message_->http10_;
     }
   }
-  return !framing->chunked || (!framing->length && !http10_);
+  return !framing->chunked || (!framing->length && !message_->http10_);
 }
 
 bool Parser::BeginBody(const Framing& framing) {
   Message& message = *message_;
-  message.keep_alive_ = http10_ ? framing.keep_alive && !framing.close : !framing.close;
+  message.keep_alive_ = message.http10_ ? framing.keep_alive && !framing.close : !framing.close;
+  message.content_length_ = framing.length;
   if (kind_ == Kind::kResponse) {
     if (IsInterim(message.status_)) {  // the final response follows
       message.headers_.clear();
@@ -292,7 +330,7 @@
     }
     if (HasNoBody(message.status_)) return Finish();
   }
-  if (framing.length && !ReserveBody(*framing.length)) return false;
+  if (framing.length && !AdmitBody(*framing.length)) return false;
   if (framing.chunked) {
     state_ = State::kChunkSize;
   } else if (framing.length) {
@@ -307,9 +345,17 @@
   return true;
 }
 
+// Whether a body that has at least `size` bytes can be received; if not, the message fails.
+bool Parser::AdmitBody(std::uint64_t size) {
+  if (size <= max_body_size_) return true;
+  if (!streaming_enabled_) return ReserveBody(size);
+  if (size > kMaxStreamedBodySize) return Fail(kContentTooLarge);
+  must_stream_ = !streaming_;
+  return true;
+}
+
 // Reserves memory for a body of `size` bytes; if it is not available, the message fails.
 bool Parser::ReserveBody(std::uint64_t size) {
-  if (size <= max_body_size_) return true;
   const std::uint64_t beyond = size - max_body_size_;
   const bool may_ever =
       long_bodies_ != nullptr && size <= kMaxLongBodySize && beyond <= long_bodies_->limit();
@@ -326,8 +372,7 @@
   const bool until_end = state_ == State::kBodyUntilEnd;
   const std::size_t available = received_ - next_;
   const std::size_t count = until_end ? available : std::min(available, remaining_);
-  const std::size_t decoded = body_end_ - message_->body_.at;
-  if (until_end && !ReserveBody(decoded + count)) return false;
+  if (until_end && !AdmitBody(body_size() + count)) return false;
   char* bytes = message_->bytes_.data();
   if (next_ != body_end_) std::memmove(bytes + body_end_, bytes + next_, count);
   next_ += count;
@@ -374,8 +419,7 @@
   if (!size || HasControlCharacter(line, Tab::kIsAllowed)) return Fail(kBadRequest);
   // Checked before the sum below, which could overflow.
   if (*size > kMaxEndpointListSize) return Fail(kContentTooLarge);
-  const std::size_t decoded = body_end_ - message_->body_.at;
-  if (!ReserveBody(decoded + *size)) return false;
+  if (!AdmitBody(body_size() + *size)) return false;
   remaining_ = static_cast<std::size_t>(*size);
   state_ = remaining_ > 0 ? State::kChunkData : State::kTrailer;
   return true;
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 
 #include "base/memory_budget.hpp"
@@ -20,9 +21,12 @@
 
 constexpr std::size_t kMaxHeadSize = std::size_t{16} * 1024;
 constexpr std::size_t kMaxHeaders = 100;
-constexpr std::size_t kMaxBodySize = std::size_t{64} * 1024;  // of a forwarded message
-// Of a forwarded message, while memory for the part above kMaxBodySize is available.
+constexpr std::size_t kMaxReceiveBuffer = std::size_t{16} * 1024;
+constexpr std::size_t kMaxBodySize = std::size_t{64} * 1024;  // of a message that is held whole
+// Of a request, while memory for the part above kMaxBodySize is available.
 constexpr std::size_t kMaxLongBodySize = std::size_t{1024} * 1024;
+// Of a response, which is passed on in parts if it is above kMaxBodySize.
+constexpr std::size_t kMaxStreamedBodySize = std::size_t{32} * 1024 * 1024;
 // Of an endpoint list: about 170 bytes per server.
 constexpr std::size_t kMaxEndpointListSize = std::size_t{32} * 1024 * 1024;
 
@@ -33,10 +37,12 @@
   // Bodies are limited to `max_body_size`, or to kMaxLongBodySize while `long_bodies` has memory available.
   explicit Parser(Kind kind, std::size_t max_body_size = kMaxBodySize,
                   std::shared_ptr<MemoryBudget> long_bodies = nullptr);
+  // Bodies above `max_body_size`, up to kMaxStreamedBodySize, are to be streamed (see TakeHead).
+  void EnableStreaming() { streaming_enabled_ = true; }
 
-  // The buffer for the next bytes. Empty: a complete message has to be taken first, or the message is
-  // malformed.
-  std::span<char> ReceiveBuffer();
+  // The buffer for the next bytes, of at most `max_size`. Empty: a complete message or the head of a streamed
+  // one has to be taken first, or the message is malformed.
+  std::span<char> ReceiveBuffer(std::size_t max_size = kMaxReceiveBuffer);
   // `count` bytes have been written into that buffer.
   void Commit(std::size_t count);
   // Both in one step, for existing bytes. Bytes behind a complete message are kept for the next one.
@@ -50,6 +56,12 @@
   // The status for a malformed message: 400, 413, 431, or 503 if no memory for a long body is available.
   int error_status() const { return error_status_; }
   bool begun() const { return buffered() > 0; }  // part of a message has been received
+  // The head is complete and valid, the body is not complete.
+  bool in_body() const { return state_ != State::kHead && !done() && !bad(); }
+  // The message in progress; its headers are valid once in_body() or done().
+  const Message& message() const { return *message_; }
+  // The body is too large to be held: nothing more is received before TakeHead. Only with EnableStreaming.
+  bool must_stream() const { return must_stream_; }
   // Buffered bytes, including those of later messages.
   std::size_t buffered() const { return received_ + pending_.size() - pending_begin_; }
   // Whether the client waits for "100 Continue" before it sends the body.
@@ -62,6 +74,15 @@
   // behind it. `memory`, reserved for the message, ends with it.
   MessageRef TakeMessage(MemoryBudget::Reservation memory = {});
 
+  // Streaming: returns the head of the message that is in_body(), and from now on holds only what TakeBody
+  // has not returned. Once done(), after the last TakeBody, TakeMessage returns an empty message and goes on
+  // to the next. `memory`, reserved for the head, ends with it.
+  MessageRef TakeHead(MemoryBudget::Reservation memory = {});
+  std::size_t head_size() const { return message_->body_.at; }
+  // The next part of the body, perhaps empty.
+  std::string TakeBody();
+  std::uint64_t body_size() const { return streamed_ + body_end_ - message_->body_.at; }  // so far
+
  private:
   enum class State {
     kHead,
@@ -97,6 +118,7 @@
   bool ParseStatusLine(std::string_view code);
   bool ParseHeader(std::string_view line, std::uint32_t at);
   bool ReadFraming(Framing* framing);
+  bool AdmitBody(std::uint64_t size);
   bool ReserveBody(std::uint64_t size);
   void DropChunkLines();
 
@@ -116,8 +138,11 @@
   std::size_t body_end_ = 0;   // the body is decoded up to here
   std::size_t remaining_ = 0;  // missing bytes of the body or chunk
   std::size_t trailer_size_ = 0;
-  bool http10_ = false;
+  std::uint64_t streamed_ = 0;  // bytes of the body that TakeBody has returned
   bool wants_continue_ = false;
+  bool streaming_enabled_ = false;
+  bool must_stream_ = false;  // until TakeHead
+  bool streaming_ = false;    // since TakeHead
 };
 
 }  // namespace dappletiller::http
--- a/src/http/writer.cpp
+++ b/src/http/writer.cpp
@@ -1,6 +1,10 @@
 #include "http/writer.hpp"
 
+#include <array>
+#include <charconv>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include "http/text.hpp"
 
@@ -43,6 +47,13 @@
   return seconds + "." + std::string(kDecimals - milliseconds.size(), '0') + milliseconds;
 }
 
+std::string FormatHex(std::size_t number) {
+  constexpr int kHexadecimal = 16;
+  std::array<char, 2 * sizeof number> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, kHexadecimal).ptr;
+  return {digits.data(), end};
+}
+
 }  // namespace
 
 void WriteRequest(const MessageRef& request, Micros timeout, OutputBuffer* out) {
@@ -67,6 +78,34 @@
   out->AppendView(response->body(), response);
 }
 
+void WriteResponseHead(const MessageRef& head, BodyFraming framing, bool keep_alive, OutputBuffer* out) {
+  out->Append("HTTP/1.1 200 OK\r\n");
+  for (std::string_view line : head->EndToEndHeaders()) out->AppendView(line, head);
+  std::string own_headers;
+  if (framing == BodyFraming::kLength)
+    own_headers = "Content-Length: " + std::to_string(head->content_length().value_or(0)) + "\r\n";
+  if (framing == BodyFraming::kChunked) own_headers = "Transfer-Encoding: chunked\r\n";
+  if (!keep_alive) own_headers += "Connection: close\r\n";
+  out->AppendOwned(own_headers + "\r\n");
+}
+
+void WriteBodyPart(std::string part, MemoryBudget::Reservation memory, BodyFraming framing,
+                   OutputBuffer* out) {
+  struct Part {
+    std::string bytes;
+    MemoryBudget::Reservation memory;
+  };
+  const auto owner = std::make_shared<const Part>(Part{std::move(part), std::move(memory)});
+  const bool is_chunk = framing == BodyFraming::kChunked;
+  if (is_chunk) out->AppendOwned(FormatHex(owner->bytes.size()) + "\r\n");
+  out->AppendView(owner->bytes, owner);
+  if (is_chunk) out->Append("\r\n");
+}
+
+void WriteBodyEnd(BodyFraming framing, OutputBuffer* out) {
+  if (framing == BodyFraming::kChunked) out->Append("0\r\n\r\n");
+}
+
 void WriteStatusResponse(int status, std::string_view text, Micros retry_after, bool keep_alive,
                          OutputBuffer* out, std::string_view content_type) {
   std::string response = "HTTP/1.1 " + std::to_string(status) + " ";
--- a/src/io/stream_socket.cpp
+++ b/src/io/stream_socket.cpp
@@ -139,6 +139,7 @@
     const ssize_t count = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
     if (count >= 0) {
       output_.Consume(static_cast<std::size_t>(count));
+      written_ += static_cast<std::size_t>(count);
     } else if (WouldBlock(errno)) {
       return;  // continued by EPOLLOUT
     } else if (LacksMemory(errno)) {
@@ -181,12 +182,14 @@
   return !open() || (PollNow(fd_.get(), POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-std::size_t StreamSocket::UnacknowledgedBytes() const {
+std::size_t StreamSocket::BytesInKernel() const {
   int in_kernel = 0;
   if (open()) ::ioctl(fd_.get(), SIOCOUTQ, &in_kernel);
-  return output_.size() + static_cast<std::size_t>(in_kernel);
+  return static_cast<std::size_t>(in_kernel);
 }
 
+std::size_t StreamSocket::UnacknowledgedBytes() const { return output_.size() + BytesInKernel(); }
+
 Micros StreamSocket::TimeSinceLastData() const {
   constexpr Micros kMicrosPerMilli = 1000;
   tcp_info info{};
--- a/src/io/stream_socket.hpp
+++ b/src/io/stream_socket.hpp
@@ -59,6 +59,7 @@
   std::uint16_t local_port() const;  // 0: not open
 
   OutputBuffer& output() { return output_; }
+  const OutputBuffer& output() const { return output_; }
   // Writes as much output as the kernel accepts; the rest is written when the socket becomes writable.
   void Flush();
   void ResumeReading();
@@ -71,6 +72,8 @@
   // Data that the peer sends after it has the last byte acknowledges that byte, so data that is read while
   // some are unacknowledged was sent before.
   std::size_t UnacknowledgedBytes() const;
+  // Bytes that the peer's kernel has acknowledged since the connection was opened.
+  std::uint64_t AcknowledgedBytes() const { return written_ - BytesInKernel(); }
 
   // How long ago the kernel received the last data, in steps of some milliseconds; 0: not known.
   Micros TimeSinceLastData() const;
@@ -90,6 +93,7 @@
   void TryAgain(std::uint32_t events) { loop_.NotifyAgain(watch_, events); }
   void NotifyClosed(StreamEnd how);
   int TakeError();
+  std::size_t BytesInKernel() const;
   bool Register();
 
   EventLoop& loop_;
@@ -97,6 +101,7 @@
   FileDescriptor fd_;
   EventLoop::WatchId watch_ = 0;
   OutputBuffer output_;
+  std::uint64_t written_ = 0;  // bytes passed to the kernel
   bool connecting_ = false;
   bool reading_ = false;  // within Read: ResumeReading from a callback must not recurse
   bool readable_ = false;
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -48,7 +48,9 @@
     components_.loop.Stop();
     return;
   }
-  if (now >= answer_by_ + kLastAnswersTime) {
+  // Responses that are still being received and passed on may take longer; the platform decides how long.
+  const bool is_streaming = components_.listener.streaming_connections() > 0;
+  if (now >= answer_by_ + kLastAnswersTime && !is_streaming) {
     components_.log.Info("out of time: shutdown limit reached; closing %zu client connections",
                          components_.listener.connections());
     components_.loop.Stop();
--- a/src/rig/hollow.cpp
+++ b/src/rig/hollow.cpp
@@ -94,6 +94,7 @@
 struct Hollow::Request final : ResponseSink {
   explicit Request(Hollow& h) : hollow(h) {}
   void OnResponse(PayloadRef) override { Count(&hollow.world_.served); }
+  void OnResponseStarted(PayloadRef, std::shared_ptr<BodyStream>) override {}
   void OnRejected(Micros) override { Count(&hollow.world_.refused); }
   void OnFailed() override { Count(&hollow.world_.failed); }
   bool ClientHasDisconnected() const override { return false; }
--- a/src/rig/hollow.hpp
+++ b/src/rig/hollow.hpp
@@ -149,6 +149,7 @@
   static Config Placed(Config config, const HollowOptions& options);
   void Start(const Attempt& attempt) override;
   void Cancel(AttemptKey key, CancelReason) override;
+  bool StartResponse(AttemptKey) override { return false; }
   bool RevokeUnsent(AttemptKey) override { return false; }
   void SetEndpoint(ServerId worker, const Endpoint& endpoint) override;
   void StopUsing(ServerId worker) override;
--- a/src/rig/measure.cpp
+++ b/src/rig/measure.cpp
@@ -43,6 +43,7 @@
 class Answering final : public UpstreamTransport {
  public:
   void Start(const Attempt& attempt) override { out.push_back(attempt.key); }
+  bool StartResponse(AttemptKey) override { return false; }
   void Cancel(AttemptKey key, CancelReason) override { std::erase(out, key); }
   bool RevokeUnsent(AttemptKey) override { return false; }
   void SetEndpoint(ServerId, const Endpoint&) override {}
@@ -58,6 +59,7 @@
 class Nobody final : public ResponseSink {
  public:
   void OnResponse(PayloadRef) override {}
+  void OnResponseStarted(PayloadRef, std::shared_ptr<BodyStream>) override {}
   void OnRejected(Micros) override {}
   void OnFailed() override {}
   bool ClientHasDisconnected() const override { return false; }
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -13,6 +13,18 @@
 // Received data of each connection that is buffered even if the memory is used up.
 constexpr std::size_t kGuaranteedBytes = std::size_t{2} * 1024;
 
+// A response without a stated length is held for so long, since it can be replaced by another attempt's until
+// its first byte is passed on; then it is streamed.
+constexpr Micros kMaxHoldTime = 50'000;
+constexpr int kHoldTimeDivisor = 2;  // of the time left to the client
+// A server that has sent nothing for this long has paused.
+constexpr Micros kPause = 100'000;
+// A streamed response is given up if its server sends nothing for so long. Up to the usual size it should
+// have been complete by the client's deadline; the client may be waiting for its end.
+constexpr Micros kMaxSilence = 10'000'000;
+constexpr Micros kMaxSilenceOfShort = 1'500'000;
+constexpr Micros kAfterDeadline = 300'000;
+
 constexpr int kOk = 200;
 constexpr int kContentTooLarge = 413;
 constexpr int kServiceUnavailable = 503;
@@ -33,8 +45,10 @@
       timer(pool.loop_),
       socket(pool.loop_, *this),
       pool_(pool),
-      parser_(http::Parser::Kind::kResponse, http::kMaxBodySize, pool.long_bodies_),
-      memory_(pool.response_memory_) {}
+      parser_(http::Parser::Kind::kResponse),
+      memory_(pool.response_memory_) {
+  parser_.EnableStreaming();
+}
 
 // ---- The request ----
 
@@ -69,6 +83,7 @@
 // ---- The response ----
 
 std::span<char> UpstreamPool::Connection::ReceiveBuffer() {
+  if (stream_ != nullptr) return StreamBuffer();
   if (ReserveMemory()) return parser_.ReceiveBuffer();
   if (!waits_for_memory_) pool_.WaitForMemory(key);
   waits_for_memory_ = true;
@@ -76,7 +91,7 @@
 }
 
 bool UpstreamPool::Connection::ReserveMemory() {
-  if (!memory_.has_budget()) return true;
+  if (!memory_.has_budget() || stream_ != nullptr) return true;
   const std::size_t expected = parser_.expected_size();
   memory_.GrowUnconditionallyTo(std::max(kGuaranteedBytes, parser_.buffered()));
   return memory_.GrowTo(expected);
@@ -89,7 +104,8 @@
 
 void UpstreamPool::Connection::OnReceived(std::size_t count) {
   if (busy && !parser_.begun()) response_was_early_ = socket.UnacknowledgedBytes() > 0;
-  if (response_bytes_ == 0) first_byte_at_ = pool_.loop_.Now();
+  last_byte_at_ = pool_.loop_.Now();
+  if (response_bytes_ == 0) first_byte_at_ = last_byte_at_;
   response_bytes_ += count;
   parser_.Commit(count);
   ProcessInput();
@@ -97,6 +113,11 @@
 
 void UpstreamPool::Connection::OnClosed(StreamEnd how) {
   if (how == StreamEnd::kOrderly) parser_.OnStreamEnd();
+  if (stream_ != nullptr) {
+    ForwardBody();
+    if (stream_ != nullptr) EndStream(false, "the connection ended");
+    return;
+  }
   if (busy && parser_.done()) return ProcessInput();
   if (!busy) return pool_.CloseIdle(*this);
   if (written_ && !parser_.begun()) pool_.RecordReuse(idle_time, false);
@@ -110,20 +131,28 @@
     socket.Close();
     return pool_.CloseIdle(*this);
   }
+  if (stream_ != nullptr) return ForwardBody();
   if (parser_.bad()) return OnMalformed();
-  if (parser_.done()) OnResponse();
+  if (parser_.done()) return OnResponse();
+  if (parser_.must_stream()) return StartStreaming();
+  const bool has_no_length = parser_.in_body() && !parser_.message().content_length();
+  if (!has_no_length || timer.set()) return;
+  const Micros time_left = std::max<Micros>(0, deadline_ - pool_.loop_.Now());
+  timer.Set(std::min(kMaxHoldTime, time_left / kHoldTimeDivisor), [this] { StartStreaming(); });
 }
 
 void UpstreamPool::Connection::OnMalformed() {
-  const char* reason = "it is malformed";
-  if (parser_.error_status() == kServiceUnavailable) reason = "no memory for a long body";
-  if (parser_.error_status() == kContentTooLarge) reason = "its body is too long";
-  pool_.LogPartialResponse(*this, reason);
+  pool_.LogPartialResponse(*this, MalformedReason());
   socket.Close();
   pool_.Finish(*this, BrokenOutcome(), nullptr);
 }
 
+const char* UpstreamPool::Connection::MalformedReason() const {
+  return parser_.error_status() == kContentTooLarge ? "its body is too long" : "it is malformed";
+}
+
 void UpstreamPool::Connection::OnResponse() {
+  timer.Clear();
   memory_.ShrinkTo(parser_.expected_size());
   http::MessageRef response =
       parser_.TakeMessage(std::exchange(memory_, MemoryBudget::Reservation(pool_.response_memory_)));
@@ -146,4 +175,95 @@
   pool_.Finish(*this, end, std::move(response));
 }
 
+// ---- A response that is passed on while it is received ----
+
+bool UpstreamPool::Connection::StartResponse() {
+  const bool has_begun = stream_ == nullptr && written_ && !response_was_early_ && parser_.in_body();
+  const bool has_paused = pool_.loop_.Now() - last_byte_at_ > kPause;
+  if (!has_begun || has_paused || OutcomeOf(parser_.message()) != AttemptOutcome::kAnswered) return false;
+  StartStreaming();
+  return true;
+}
+
+void UpstreamPool::Connection::StartStreaming() {
+  timer.Clear();
+  AttemptOutcome outcome = OutcomeOf(parser_.message());
+  // Of an earlier request, as in OnResponse. The rest of it is still on the connection.
+  if (!written_ && outcome != AttemptOutcome::kRejected) outcome = AttemptOutcome::kUnreachable;
+  if (response_was_early_ && outcome == AttemptOutcome::kAnswered) outcome = AttemptOutcome::kReset;
+  if (outcome != AttemptOutcome::kAnswered) {
+    socket.Close();
+    return pool_.Finish(*this, outcome, nullptr);
+  }
+  pool_.RecordReuse(idle_time, true);
+  http::MessageRef head = parser_.TakeHead(memory_.Split(parser_.head_size()));
+  keep_alive_ = head->keep_alive();
+  is_long_ = head->content_length().value_or(0) > http::kMaxBodySize;
+  stream_ = std::make_shared<BodyStream>(*this);
+  timer.Set(MaxSilenceEnd() - pool_.loop_.Now(), [this] { CheckSilence(); });
+  const bool is_wanted = pool_.dispatcher_.OnResponseStarted(key, std::move(head), stream_);
+  if (!is_wanted) return AbandonBody();
+  if (stream_ != nullptr) ForwardBody();
+}
+
+// Reads only as fast as the client takes the body. Small parts need no memory to be available, so that no
+// stream waits for another.
+std::span<char> UpstreamPool::Connection::StreamBuffer() {
+  if (!stream_->ready()) return {};
+  if (memory_.GrowTo(http::kMaxReceiveBuffer)) return parser_.ReceiveBuffer(http::kMaxReceiveBuffer);
+  memory_.GrowUnconditionallyTo(kGuaranteedBytes);
+  return parser_.ReceiveBuffer(kGuaranteedBytes);
+}
+
+void UpstreamPool::Connection::ForwardBody() {
+  const std::shared_ptr<BodyStream> stream = stream_;
+  if (std::string part = parser_.TakeBody(); !part.empty()) {
+    memory_.ShrinkTo(part.size());
+    stream->Write(std::move(part), std::exchange(memory_, MemoryBudget::Reservation(pool_.long_bodies_)));
+  }
+  if (stream_ == nullptr) return;  // the client has gone
+  if (parser_.bad()) return EndStream(false, MalformedReason());
+  if (parser_.done()) EndStream(true, "");
+}
+
+void UpstreamPool::Connection::EndStream(bool complete, const char* reason) {
+  const std::shared_ptr<BodyStream> stream = std::exchange(stream_, nullptr);
+  memory_ = MemoryBudget::Reservation(pool_.response_memory_);
+  if (complete) {
+    parser_.TakeMessage();
+    reusable_ = keep_alive_ && !parser_.begun();
+    if (parser_.begun()) pool_.RecordExtraData(server);
+  } else {
+    ++pool_.dispatcher_.counters().responses_cut;
+    pool_.LogPartialResponse(*this, reason);
+    socket.Close();
+  }
+  pool_.Release(*this);
+  stream->End(complete);
+}
+
+Micros UpstreamPool::Connection::MaxSilenceEnd() const {
+  const bool is_long = is_long_ || parser_.body_size() > http::kMaxBodySize;
+  if (is_long) return last_byte_at_ + kMaxSilence;
+  return std::max(last_byte_at_ + kMaxSilenceOfShort, deadline_ + kAfterDeadline);
+}
+
+void UpstreamPool::Connection::CheckSilence() {
+  const Micros now = pool_.loop_.Now();
+  if (!stream_->ready()) last_byte_at_ = now;  // the server waits for the client
+  const Micros end = MaxSilenceEnd();
+  if (now >= end) return EndStream(false, "the server is silent");
+  timer.Set(end - now, [this] { CheckSilence(); });
+}
+
+void UpstreamPool::Connection::ResumeBody() {
+  last_byte_at_ = pool_.loop_.Now();
+  socket.ResumeReading();
+}
+
+void UpstreamPool::Connection::AbandonBody() {
+  stream_ = nullptr;
+  pool_.Stop(key);
+}
+
 }  // namespace dappletiller
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -4,6 +4,7 @@
 #define DAPPLETILLER_UPSTREAM_CONNECTION_HPP_
 
 #include <cstddef>
+#include <memory>
 #include <span>
 #include <string>
 
@@ -17,7 +18,7 @@
 
 namespace dappletiller {
 
-class UpstreamPool::Connection final : public StreamSocket::Callbacks {
+class UpstreamPool::Connection final : public StreamSocket::Callbacks, public BodySource {
  public:
   Connection(UpstreamPool& pool, ServerId server, const Endpoint& endpoint);
 
@@ -28,6 +29,8 @@
   bool ReserveMemory();
   // Memory may be available again.
   void ResumeReading();
+  // Passes the response on from now on if it has begun and the server still sends it.
+  bool StartResponse();
 
   // StreamSocket::Callbacks
   std::span<char> ReceiveBuffer() override;
@@ -49,7 +52,7 @@
   AttemptKey key;
   bool busy = false;
   bool connected = false;  // bytes may have been sent
-  Timer timer;             // connect or idle timeout
+  Timer timer;             // connect or idle timeout; while busy, the next step of a slow response
   StreamSocket socket;
   ConnectionList::iterator position;  // while idle
   Micros idle_since = 0;
@@ -59,7 +62,19 @@
   void Write();
   void ProcessInput();
   void OnMalformed();
+  const char* MalformedReason() const;
   void OnResponse();
+
+  void StartStreaming();
+  std::span<char> StreamBuffer();
+  void ForwardBody();
+  void EndStream(bool complete, const char* reason);
+  Micros MaxSilenceEnd() const;
+  void CheckSilence();
+  // BodySource
+  void ResumeBody() override;
+  void AbandonBody() override;
+
   // How an attempt ends without a response: a request that was not completely written cannot have run.
   AttemptOutcome BrokenOutcome() const {
     return written_ ? AttemptOutcome::kReset : AttemptOutcome::kUnreachable;
@@ -73,12 +88,16 @@
   std::string request_id_;            // of the current or last request
   std::size_t response_bytes_ = 0;    // received for it
   Micros first_byte_at_ = 0;          // of these
+  Micros last_byte_at_ = 0;           // of these, or when the client was ready for more
   Micros deadline_ = 0;
   bool written_ = false;
   // The current response began before the server's kernel had the whole request, so it belongs to an earlier
   // request, possibly of another client.
   bool response_was_early_ = false;
   bool reusable_ = false;
+  std::shared_ptr<BodyStream> stream_;  // while the response is passed on as it is received
+  bool keep_alive_ = false;             // after that response
+  bool is_long_ = false;                // its stated length is above the usual size
 };
 
 }  // namespace dappletiller
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -197,6 +197,11 @@
   Discard(std::move(connection));
 }
 
+bool UpstreamPool::StartResponse(AttemptKey key) {
+  auto it = busy_.find(key);
+  return it != busy_.end() && it->second->StartResponse();
+}
+
 bool UpstreamPool::RevokeUnsent(AttemptKey key) {
   auto it = busy_.find(key);
   if (it == busy_.end() || it->second->written()) return false;
@@ -210,19 +215,24 @@
 }
 
 void UpstreamPool::Finish(Connection& connection, AttemptOutcome end, PayloadRef response) {
+  const AttemptKey key = connection.key;
+  if (busy_.count(key) == 0) return;
+  // Released first: on the outcome the module may send to this server again immediately.
+  Release(connection);
+  dispatcher_.OnAttemptEnded(key, end, std::move(response));
+}
+
+// The attempt is over: the connection is idle or closed from now on.
+void UpstreamPool::Release(Connection& connection) {
   auto it = busy_.find(connection.key);
-  if (it == busy_.end()) return;
   std::unique_ptr<Connection> owned = std::move(it->second);
   busy_.erase(it);
   owned->busy = false;
-  AttemptKey key = owned->key;
-  // Returned first: on the outcome the module may send to this server again immediately.
   if (owned->reusable()) {
     ReturnToPool(std::move(owned));
   } else {
     Discard(std::move(owned));
   }
-  dispatcher_.OnAttemptEnded(key, end, std::move(response));
 }
 
 void UpstreamPool::ReturnToPool(std::unique_ptr<Connection> connection) {
--- a/src/upstream/upstream_pool.hpp
+++ b/src/upstream/upstream_pool.hpp
@@ -26,7 +26,8 @@
 
 class UpstreamPool final : public UpstreamTransport {
  public:
-  // `long_bodies`: memory for responses with long bodies; null: bodies of up to http::kMaxBodySize only.
+  // `long_bodies`: memory for the parts of responses that are passed on as they are received; without it the
+  // parts are small.
   // `response_memory`: for responses, up to the usual size of each; null: no limit. A response is read only
   // once memory for the whole of it is reserved; until then it waits in the kernel.
   UpstreamPool(EventLoop& loop, Log& log, RequestDispatcher& dispatcher, DescriptorLimit& descriptors,
@@ -36,6 +37,7 @@
 
   void Start(const Attempt& attempt) override;
   void Cancel(AttemptKey key, CancelReason reason) override;
+  bool StartResponse(AttemptKey key) override;
   bool RevokeUnsent(AttemptKey key) override;
   void SetEndpoint(ServerId server, const Endpoint& endpoint) override;
   void StopUsing(ServerId server) override;
@@ -68,6 +70,7 @@
   void Dial(Connection& connection, Micros connect_by);
   bool CloseOneIdle();
   void Finish(Connection& connection, AttemptOutcome end, PayloadRef response);
+  void Release(Connection& connection);
   void ReturnToPool(std::unique_ptr<Connection> connection);
   void StartIdleTimeout(Connection& connection);
   void CloseIdle(Connection& connection);
--- a/tests/net/support.hpp
+++ b/tests/net/support.hpp
@@ -318,6 +318,7 @@
 // Sink for requests that a test passes directly to the dispatcher.
 struct RecordingSink final : ResponseSink {
   void OnResponse(PayloadRef) override { ++served; }
+  void OnResponseStarted(PayloadRef, std::shared_ptr<BodyStream>) override { ++served; }
   void OnRejected(Micros) override { ++other; }
   void OnFailed() override { ++other; }
   bool ClientHasDisconnected() const override { return false; }
