--- a/src/dispatch/counters.hpp
+++ b/src/dispatch/counters.hpp
@@ -19,6 +19,7 @@
   kMalformed,    // its request was malformed, contradictory or too large
   kPipelined,    // it sent more ahead of a response than is kept
   kNoMemory,     // there was no memory for its request
+  kRepeatedId,   // its request had the id of one that may have run
   kResponseCut,  // its server did not complete a response that had begun
   kCount
 };
--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -119,7 +119,8 @@
   log_.Important(
       "details: %d retries; rejected %d without and %d after an attempt; given up for: %d deadline, %d "
       "expected wait, %d failed attempt; clients closed: %d idle, %d early, %d late "
-      "request, %d not reading, %d malformed, %d too much pipelined, %d no memory, %d response cut; "
+      "request, %d not reading, %d malformed, %d too much pipelined, %d no memory, %d repeated id, %d "
+      "response cut; "
       "responses passed "
       "on as received: %d begun, %d cut by servers; postponed: %d dials, %d accepts",
       t.retries, t.rejected - t.rejected_after_attempt, t.rejected_after_attempt,
@@ -127,8 +128,8 @@
       given_up(balancer::GiveUpReason::kAttemptFailed), closed(ClientClose::kIdle),
       closed(ClientClose::kEarly), closed(ClientClose::kLateRequest), closed(ClientClose::kNotReading),
       closed(ClientClose::kMalformed), closed(ClientClose::kPipelined), closed(ClientClose::kNoMemory),
-      closed(ClientClose::kResponseCut), t.responses_streamed, t.responses_cut, t.dials_postponed,
-      t.accepts_postponed);
+      closed(ClientClose::kRepeatedId), closed(ClientClose::kResponseCut), t.responses_streamed,
+      t.responses_cut, t.dials_postponed, t.accepts_postponed);
 }
 
 // Executing an action may cause the next event immediately, such as a refused connection. That event is
@@ -152,10 +153,38 @@
   for (RequestId id : std::exchange(finished_, {})) EraseIfFinished(id);
 }
 
+bool RequestDispatcher::MayBeRepeated(int request_class) const {
+  const auto index = static_cast<std::size_t>(request_class);
+  return index < classes_.entries().size() &&
+         classes_.entries()[index].settings.effect == balancer::Effect::kSafe;
+}
+
+RequestDispatcher::IdStatus RequestDispatcher::CheckId(RequestIdHash id, int request_class) {
+  if (const auto known = requests_by_id_.find(id); known != requests_by_id_.end()) {
+    const Request& request = requests_.at(known->second);
+    const bool is_open = request.sink != nullptr || request.attempts_in_flight > 0;
+    if (is_open) return IdStatus::kOpen;
+  }
+  if (MayBeRepeated(request_class)) return IdStatus::kNew;
+  const bool is_sent =
+      sent_ids_.Contains(id, loop_.Now()) || (shared_sent_ids_ != nullptr && shared_sent_ids_->Contains(id));
+  return is_sent ? IdStatus::kMayHaveRun : IdStatus::kNew;
+}
+
+// Before the first attempt, so that no other process can take it for new.
+void RequestDispatcher::RecordSentId(Request* request) {
+  if (request->id == 0 || request->may_be_repeated || std::exchange(request->id_recorded, true)) return;
+  sent_ids_.Add(request->id, loop_.Now());
+  if (shared_sent_ids_ != nullptr) shared_sent_ids_->Add(request->id);
+}
+
 void RequestDispatcher::OnRequest(RequestId id, IncomingRequest incoming, ResponseSink& sink) {
   ++counters().arrived;
   Request& request = requests_[id];
   request.sink = &sink;
+  request.id = incoming.id;
+  request.may_be_repeated = MayBeRepeated(incoming.request_class);
+  if (incoming.id != 0) requests_by_id_[incoming.id] = id;
   request.payload = std::move(incoming.payload);
   ++open_requests_;
   balancer::RequestArrived event;
@@ -218,9 +247,11 @@
   if (it == requests_.end() || it->second.sink != nullptr || it->second.attempts_in_flight != 0) return;
   if (delivering_) {
     finished_.push_back(id);
-  } else {
-    requests_.erase(it);
+    return;
   }
+  const auto by_id = requests_by_id_.find(it->second.id);
+  if (by_id != requests_by_id_.end() && by_id->second == id) requests_by_id_.erase(by_id);
+  requests_.erase(it);
 }
 
 void RequestDispatcher::OnClientDisconnected(RequestId id) {
@@ -461,6 +492,7 @@
     sent.write_timer = std::make_unique<Timer>(loop_);
     sent.write_timer->Set(action.write_timeout, [this, key] { RevokeUnsentAttempt(key); });
   }
+  RecordSentId(&request);
   upstream_->Start({key, action.server, action.timeout, request.payload});
 }
 
--- a/src/dispatch/request_dispatcher.hpp
+++ b/src/dispatch/request_dispatcher.hpp
@@ -19,6 +19,7 @@
 #include "dappletiller/balancer.hpp"
 #include "dispatch/counters.hpp"
 #include "dispatch/request_classes.hpp"
+#include "dispatch/sent_ids.hpp"
 #include "dispatch/server_start_times.hpp"
 #include "dispatch/types.hpp"
 #include "drain/administrative_drains.hpp"
@@ -36,6 +37,17 @@
   // Must be called once, before any other function. Both objects must outlive the dispatcher.
   void Connect(UpstreamTransport& upstream, EndpointSource& endpoints);
 
+  enum class IdStatus {
+    kNew,
+    kOpen,        // a request with this id is open, or an attempt of it
+    kMayHaveRun,  // such a request has been sent to a server, and must not be sent again
+  };
+  // Whether a request of this class with this id may be accepted.
+  IdStatus CheckId(RequestIdHash id, int request_class);
+  // From now on also knows the ids that other processes of this proxy have sent. `shared` must outlive the
+  // dispatcher.
+  void ShareSentIds(SharedSentIds& shared) { shared_sent_ids_ = &shared; }
+
   // From the listener. The sink receives the final outcome once, unless OnClientDisconnected comes first. It
   // may be called before OnRequest returns.
   RequestId NewRequestId() { return ++last_request_id_; }
@@ -94,6 +106,9 @@
   };
   struct Request {
     ResponseSink* sink = nullptr;  // null after the final outcome or the client's disconnect
+    RequestIdHash id = 0;
+    bool may_be_repeated = false;  // according to its class
+    bool id_recorded = false;      // among the sent ids
     PayloadRef payload;
     std::vector<SentAttempt> attempts;
     int attempts_in_flight = 0;  // number of attempts in flight
@@ -122,6 +137,8 @@
   template <typename Respond>
   bool EndAttempt(AttemptKey key, AttemptOutcome outcome, Respond respond);
   ResponseSink* CloseRequest(RequestId id);
+  bool MayBeRepeated(int request_class) const;
+  void RecordSentId(Request* request);
   void RevokeUnsentAttempts(RequestId id);
   void RevokeUnsentAttempt(AttemptKey key);
   void EraseIfFinished(RequestId id);
@@ -135,6 +152,9 @@
   UpstreamTransport* upstream_ = nullptr;
   EndpointSource* endpoints_ = nullptr;
   std::unordered_map<RequestId, Request> requests_;
+  std::unordered_map<RequestIdHash, RequestId> requests_by_id_;  // the latest with that id
+  SentIdTable sent_ids_;
+  SharedSentIds* shared_sent_ids_ = nullptr;  // null: there are no other processes
   std::unordered_map<std::string, KnownServer> servers_by_uid_;
   RequestId last_request_id_ = 0;
   ServerId last_server_id_ = 0;
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -14,6 +14,7 @@
 #include "base/payload.hpp"
 #include "base/time.hpp"
 #include "dispatch/body_stream.hpp"
+#include "dispatch/sent_ids.hpp"
 
 namespace dappletiller {
 
@@ -28,6 +29,7 @@
   std::optional<Micros> work_hint;
   bool client_retry = false;
   PayloadRef payload;
+  RequestIdHash id = 0;  // of its Request-Id
   // When this process must have answered because it may terminate afterwards; 0: no limit. Separate from the
   // client's deadline, which also tells how long the client has been trying.
   Micros answer_by = 0;
--- a/src/downstream/connection.cpp
+++ b/src/downstream/connection.cpp
@@ -78,7 +78,6 @@
   socket.Close();
   if (const auto body = std::exchange(body_, nullptr)) body->Abandon();
   if (std::exchange(state_, State::kClosing) != State::kWaiting) return;
-  ReleaseRequestId();
   listener_.dispatcher_.OnClientDisconnected(dispatched_id_);
 }
 
@@ -211,11 +210,16 @@
 void DownstreamListener::Connection::DispatchRequest(const http::MessageRef& request) {
   auto parsed = ParseIncomingRequest(request, last_byte_at_, listener_.dispatcher_.classes());
   if (!parsed) return Reject(parsed.error().status, parsed.error().text);
-  // A second open request with the same id would be the same request to a server.
-  if (!listener_.open_request_ids_.insert(parsed->id).second)
-    return Reject(kConflict, "a request with this Request-Id is still open");
-  request_id_ = std::move(parsed->id);
   IncomingRequest& incoming = parsed->incoming;
+  // A second request with the same id would be the same request to a server.
+  switch (listener_.dispatcher_.CheckId(incoming.id, incoming.request_class)) {
+    case RequestDispatcher::IdStatus::kOpen:
+      return Reject(kConflict, "a request with this Request-Id is still open");
+    case RequestDispatcher::IdStatus::kMayHaveRun:
+      return Reject(kConflict, "a request with this Request-Id may have run", ClientClose::kRepeatedId);
+    case RequestDispatcher::IdStatus::kNew:
+      break;
+  }
   incoming.tenant = listener_.FindTenant(parsed->tenant);
   incoming.answer_by = listener_.answer_by_;
   state_ = State::kWaiting;
@@ -276,7 +280,6 @@
 void DownstreamListener::Connection::OnFailed() { SendStatus(kBadGateway, "no server responded", 0); }
 
 void DownstreamListener::Connection::BeginResponse() {
-  if (state_ == State::kWaiting) ReleaseRequestId();
   state_ = State::kWriting;
   const bool is_last =
       listener_.draining_ || listener_.lame_duck_ || listener_.admission_.ShouldCloseAfterResponse(id);
--- a/src/downstream/connection.hpp
+++ b/src/downstream/connection.hpp
@@ -74,7 +74,6 @@
   void RejectMalformed();
   void AnswerHealthCheck();
   void DispatchRequest(const http::MessageRef& request);
-  void ReleaseRequestId() { listener_.open_request_ids_.erase(request_id_); }
 
   // BodySink
   bool ReadyForBody() const override { return socket.output().empty(); }
@@ -96,7 +95,6 @@
   Timer continue_;  // while more requests are buffered than one round may process
   State state_ = State::kReading;
   RequestId dispatched_id_ = 0;
-  std::string request_id_;  // of the open request
   Micros connected_at_;
   ReceiveTimes received_;
   Micros last_byte_at_ = 0;                // of the request taken last
--- a/src/downstream/incoming_request.cpp
+++ b/src/downstream/incoming_request.cpp
@@ -56,8 +56,8 @@
   const RequestClasses::Entry* request_class = classes.Find(message->Find("Request-Class").value_or(""));
   if (request_class == nullptr) return refuse(kBadRequest, "Request-Class is missing or unknown");
   ParsedRequest parsed;
-  parsed.id = message->Find("Request-Id").value_or("");
-  if (parsed.id.empty()) return refuse(kBadRequest, "Request-Id is missing");
+  parsed.incoming.id = HashRequestId(message->Find("Request-Id").value_or(""));
+  if (parsed.incoming.id == 0) return refuse(kBadRequest, "Request-Id is missing");
   if (!FitsClass(*message, request_class->settings.effect))
     return refuse(kBadRequest, "the class does not allow this method, key or body");
 
--- a/src/downstream/incoming_request.hpp
+++ b/src/downstream/incoming_request.hpp
@@ -5,7 +5,6 @@
 #ifndef DAPPLETILLER_DOWNSTREAM_INCOMING_REQUEST_HPP_
 #define DAPPLETILLER_DOWNSTREAM_INCOMING_REQUEST_HPP_
 
-#include <string>
 #include <string_view>
 
 #include "base/result.hpp"
@@ -23,7 +22,6 @@
 };
 
 struct ParsedRequest {
-  std::string id;  // Request-Id
   std::string_view tenant;
   // The deadline counts from `received_at`. Tenant and `answer_by` are the caller's to fill in.
   IncomingRequest incoming;
--- a/src/downstream/listener.hpp
+++ b/src/downstream/listener.hpp
@@ -7,7 +7,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "base/memory_budget.hpp"
@@ -99,10 +98,9 @@
   DescriptorLimit& descriptors_;
   ListenerOptions options_;
   std::unordered_map<std::string, int> tenant_by_name_;
-  int next_tenant_ = 0;                               // next index that was never used
-  std::vector<int> free_tenants_;                     // indexes of removed tenants
-  std::unordered_set<std::string> open_request_ids_;  // Request-Ids of open requests
-  std::vector<char> discard_buffer_;                  // for data that is discarded
+  int next_tenant_ = 0;               // next index that was never used
+  std::vector<int> free_tenants_;     // indexes of removed tenants
+  std::vector<char> discard_buffer_;  // for data that is discarded
   FileDescriptor listener_;
   FileDescriptor unregistered_;  // an accepted connection that epoll had no memory for yet
   EventLoop::WatchId token_ = 0;
--- a/src/proxy/drain_state_storage.cpp
+++ b/src/proxy/drain_state_storage.cpp
@@ -1,10 +1,10 @@
 #include "proxy/drain_state_storage.hpp"
 
-#include <cstdlib>
 #include <system_error>
 #include <utility>
 
 #include "io/transient_error.hpp"
+#include "proxy/environment.hpp"
 
 namespace dappletiller {
 namespace {
@@ -13,11 +13,6 @@
 constexpr Micros kLockRetryDelay = 5'000;  // while another process writes
 constexpr Micros kPollInterval = 100'000;
 
-std::string TemporaryFolder() {
-  const char* folder = std::getenv("TMPDIR");
-  return folder != nullptr && *folder != '\0' ? folder : "/tmp";
-}
-
 // A folder that is missing or read-only is a setting of the deployment; other errors pass.
 bool MeansNoFolder(const std::error_code& error) {
   return error == std::errc::no_such_file_or_directory || error == std::errc::not_a_directory ||
--- a/src/proxy/environment.cpp
+++ b/src/proxy/environment.cpp
@@ -48,6 +48,11 @@
   return endpoint;
 }
 
+std::string TemporaryFolder() {
+  const char* folder = ReadVariable("TMPDIR");
+  return folder != nullptr ? folder : "/tmp";
+}
+
 std::optional<int> InheritedSocket() {
   const char* text = ReadVariable("BALANCER_SOCKET_FD");
   if (text == nullptr) return std::nullopt;
--- a/src/proxy/environment.hpp
+++ b/src/proxy/environment.hpp
@@ -4,6 +4,7 @@
 #define DAPPLETILLER_PROXY_ENVIRONMENT_HPP_
 
 #include <optional>
+#include <string>
 
 #include "base/endpoint.hpp"
 #include "config/platform_config.hpp"
@@ -14,6 +15,8 @@
 Config LoadConfig();
 // The console's address: BALANCER_CONSOLE, or else the configuration; nothing if there is no console.
 std::optional<Endpoint> ConsoleEndpoint(const Config& config);
+// TMPDIR: outlives a process in an upgrade, and all processes of a proxy share it.
+std::string TemporaryFolder();
 // The descriptor in BALANCER_SOCKET_FD: a listening socket that the platform passes to each process.
 std::optional<int> InheritedSocket();
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -18,6 +18,7 @@
 #include "proxy/graceful_shutdown.hpp"
 #include "proxy/reload.hpp"
 #include "proxy/resource_log.hpp"
+#include "proxy/shared_sent_id_file.hpp"
 
 namespace dappletiller {
 namespace {
@@ -34,6 +35,7 @@
                      [this](const drain::AdministrativeDrains& drains) {
                        components_.dispatcher.AdoptDrains(drains);
                      }),
+        sent_ids_(components_.loop, log, components_.config.name),
         commands_(components_, drain_state_),
         console_(components_.loop, log, commands_),
         shutdown_(components_, drain_state_),
@@ -47,7 +49,10 @@
     drain_state_.Load();
     components_.Start();
     // With an inherited socket another process may serve beside this one, in an upgrade.
-    if (components_.listener.inherited()) drain_state_.FollowOtherProcesses();
+    if (components_.listener.inherited()) {
+      drain_state_.FollowOtherProcesses();
+      components_.dispatcher.ShareSentIds(sent_ids_);
+    }
     if (const auto where = ConsoleEndpoint(components_.config)) {
       console_.Listen(*where);
       log.Important("console on port %u", console_.port());
@@ -99,6 +104,7 @@
   ProxyComponents components_;
   SignalWatcher signals_;
   DrainStateStorage drain_state_;
+  SharedSentIdFile sent_ids_;
   ConsoleCommands commands_;
   Console console_;
   GracefulShutdown shutdown_;
--- a/tests/fault_injection/syscall_faults.cpp
+++ b/tests/fault_injection/syscall_faults.cpp
@@ -2,9 +2,9 @@
 // wall clock. Its own shared object, so that nothing of it is in the program.
 //
 // DAPPLETILLER_FAULTS holds rules separated by ';', each CALL:EFFECT[:KEY=VALUE,...]. CALL is the name of a
-// function below. EFFECT is an errno name, `short` (recv, sendmsg, read, write: part of the bytes), or `step`
-// (clock_gettime). A broken connection (ECONNRESET, ETIMEDOUT, EHOSTUNREACH) is also shut down, so that the
-// peer notices. Keys:
+// function below. EFFECT is an errno name, `short` (recv, sendmsg, read, write, pread, pwrite: part of the
+// bytes), or `step` (clock_gettime). A broken connection (ECONNRESET, ETIMEDOUT, EHOSTUNREACH) is also shut
+// down, so that the peer notices. Keys:
 //   skip=N        the first N calls succeed
 //   count=N       at most N calls fail
 //   chance=P      of each call, in percent
@@ -318,6 +318,25 @@
   return next(fd, bytes, effect == kShort ? Faults::Get().Part(size) : size);
 }
 
+ssize_t pread(int fd, void* bytes, size_t size, off_t at) {
+  static auto* const next = Resolve<decltype(::pread)>("pread");
+  const int effect = Faults::Get().Next("pread", {}, fd);
+  if (Fails(effect)) return -1;
+  return next(fd, bytes, effect == kShort ? Faults::Get().Part(size) : size, at);
+}
+
+ssize_t pwrite(int fd, const void* bytes, size_t size, off_t at) {
+  static auto* const next = Resolve<decltype(::pwrite)>("pwrite");
+  const int effect = Faults::Get().Next("pwrite", {}, fd);
+  if (Fails(effect)) return -1;
+  return next(fd, bytes, effect == kShort ? Faults::Get().Part(size) : size, at);
+}
+
+int fallocate(int fd, int mode, off_t at, off_t size) {
+  static auto* const next = Resolve<decltype(::fallocate)>("fallocate");
+  return Fails(Faults::Get().Next("fallocate")) ? -1 : next(fd, mode, at, size);
+}
+
 int fsync(int fd) {
   static auto* const next = Resolve<decltype(::fsync)>("fsync");
   return Fails(Faults::Get().Next("fsync")) ? -1 : next(fd);
--- a/tests/net/upgrade_test.cpp
+++ b/tests/net/upgrade_test.cpp
@@ -16,10 +16,22 @@
 
 class Upgrade {
  public:
-  Upgrade() : old_(Start()) {}
+  // `effect`: of the class "check".
+  explicit Upgrade(const std::string& effect = "free") : effect_(effect), old_(Start()) {}
   ~Upgrade() { std::filesystem::remove_all(folder_); }
 
   void StartSuccessor() { successor_ = Start(); }
+  // How often a server has received a request with this id.
+  long CountArrivals(const std::string& id) {
+    long count = 0;
+    for (TestServer& server : servers) {
+      while (server.Accept()) {
+      }
+      for (TestConnection& connection : server.connections)
+        count += connection.HasReceived("Request-Id: " + id + "\r\n") ? 1 : 0;
+    }
+    return count;
+  }
   Program& old_process() { return *old_.program; }
   Program& successor() { return *successor_.program; }
 
@@ -63,6 +75,8 @@
     const std::string second = R"("state":"up"},{"uid":"t","endpoint":"127.0.0.1:)" +
                                std::to_string(servers[1].port) + R"(","az":"a","state":"up"}])";
     config.replace(config.find(first), first.size(), second);
+    const std::string free = "\"effect\":\"free\"";
+    config.replace(config.find(free), free.size(), "\"effect\":\"" + effect_ + "\"");
     Process process;
     process.program =
         std::make_unique<Program>(config, std::vector<std::pair<std::string, std::string>>{
@@ -102,6 +116,7 @@
     return name;
   }
 
+  std::string effect_;
   std::string folder_ = MakeFolder();
   Process old_;
   Process successor_;
@@ -174,5 +189,52 @@
   CHECK(upgrade.CallSuccessor("/_plan-servers/detach?who=t") == 200);
 }
 
+std::string SingleShot(const std::string& id) {
+  return "POST /api HTTP/1.1\r\nRequest-Id: " + id +
+         "\r\nRequest-Class: check\r\nRequest-Timeout: 15000m\r\nContent-Length: 0\r\n\r\n";
+}
+
+// Sends a request, waits until a server has it, and leaves.
+void SendAndLeave(Upgrade& upgrade, TestConnection& client, const std::string& id) {
+  client.Send(SingleShot(id));
+  upgrade.fixture.WaitUntil("a server has the request", [&] { return upgrade.CountArrivals(id) == 1; });
+  client.Close();
+}
+
+void CheckRefused(Upgrade& upgrade, TestConnection& client, const std::string& id) {
+  client.Send(SingleShot(id));
+  upgrade.fixture.WaitUntil("it is refused, or a server has it",
+                            [&] { return client.HasReceived("HTTP/1.1 ") || upgrade.CountArrivals(id) > 1; });
+  CHECK(client.HasReceived("HTTP/1.1 409 "));
+  Wait(kPropagationMs);
+  CHECK(upgrade.CountArrivals(id) == 1);
+}
+
+TEST_CASE("an id that may have run at one process of an upgrade runs again at the other") {
+  Upgrade upgrade("single_shot");
+  TestConnection at_old = TestConnection::Connect(upgrade.listener.port);
+  TestConnection kept_at_old = TestConnection::Connect(upgrade.listener.port);
+  for (TestConnection* client : {&at_old, &kept_at_old}) {
+    client->Send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+    upgrade.fixture.WaitForData(*client, "HTTP/1.1 200 ");
+    client->text.clear();
+  }
+  upgrade.StartSuccessor();
+  SUBCASE("at the successor") {
+    SendAndLeave(upgrade, at_old, "x");
+    kept_at_old.Close();
+    upgrade.EndOld();
+    TestConnection client = TestConnection::Connect(upgrade.listener.port);
+    CheckRefused(upgrade, client, "x");
+  }
+  SUBCASE("at the old process") {
+    upgrade.old_process().Signal(SIGSTOP);  // the successor accepts
+    TestConnection at_successor = TestConnection::Connect(upgrade.listener.port);
+    SendAndLeave(upgrade, at_successor, "x");
+    upgrade.old_process().Signal(SIGCONT);
+    CheckRefused(upgrade, kept_at_old, "x");
+  }
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
