--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -146,6 +146,10 @@
   const bool is_long_poll = connection.kind() == Kind::kLongPoll;
   // A late response to a fetch must not undo changes that the long poll has delivered since.
   const bool is_old = !is_long_poll && !needs_snapshot_ && list.version < version_;
+  // Versions only grow: this is another process of discovery, whose changes do not follow on the known list.
+  const bool has_restarted =
+      is_long_poll && list.kind == EndpointList::Kind::kDelta && list.version < version_;
+  if (has_restarted) needs_snapshot_ = true;
   if (!is_old) version_ = list.version;
   if (list.kind == EndpointList::Kind::kSnapshot) needs_snapshot_ = false;
   if (is_long_poll) {
--- a/src/dispatch/request_dispatcher.cpp
+++ b/src/dispatch/request_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "base/payload.hpp"
@@ -415,57 +416,114 @@
 }
 
 void RequestDispatcher::ApplyEndpoints(const EndpointList& list, Micros previous_list_at) {
+  const bool is_complete =
+      list.kind == EndpointList::Kind::kSnapshot || list.kind == EndpointList::Kind::kCached;
+  const std::vector<ServerId> missing = is_complete ? ForgetMissing(list) : std::vector<ServerId>();
   balancer::EndpointListUpdate event;
   event.kind = Translate(list.kind);
-  std::set<std::string> listed_uids;
-  std::vector<ServerId> draining, removed;
+  EndpointChanges changes;
+  const auto apply = [&](const std::vector<EndpointEntry>& entries) {
+    for (const EndpointEntry& listed : entries)
+      event.entries.push_back(ApplyEndpoint(listed, previous_list_at, &changes));
+  };
+  const std::vector<EndpointEntry> others = UpdateOwners(list);
+  apply(list.entries);
+  apply(others);
+  changes.removed.insert(changes.removed.end(), missing.begin(), missing.end());
+  // The module is updated first: attempts cancelled below must not be retried on another server that is
+  // draining too.
+  Deliver(std::move(event));
+  for (ServerId id : changes.draining) upstream_->StopUsing(id);
+  for (ServerId id : changes.removed) upstream_->Remove(id);
+}
+
+// Forgets the servers that a complete list does not name, so that the tables do not grow as servers are
+// replaced. Returns them.
+std::vector<ServerId> RequestDispatcher::ForgetMissing(const EndpointList& list) {
+  std::set<std::string_view> listed_uids;
+  for (const EndpointEntry& listed : list.entries) listed_uids.insert(listed.uid);
+  std::vector<ServerId> missing;
+  std::erase_if(servers_by_uid_, [&](const auto& known) {
+    const auto& [uid, server] = known;
+    if (listed_uids.count(uid) != 0) return false;
+    missing.push_back(server.id);
+    owners_.OnRemoved(uid);
+    return true;
+  });
+  return missing;
+}
+
+// Returns the servers that the list does not name itself, but whose address another server has got, or got
+// back, by it.
+std::vector<EndpointEntry> RequestDispatcher::UpdateOwners(const EndpointList& list) {
+  owners_.BeginList();
   for (const EndpointEntry& listed : list.entries) {
-    auto [it, inserted] = servers_by_uid_.try_emplace(listed.uid);
-    KnownServer& known = it->second;
-    if (inserted) known.id = ++last_server_id_;
-    known.listed = listed;
-    EndpointEntry entry = listed;
-    entry.boot_unix = start_times_.Update(listed.uid, listed.boot_unix, loop_.Now(), previous_list_at);
-    if (entry.state != EndpointState::kRemoved && drains_.IsDrained(entry.uid))
-      entry.state = EndpointState::kDraining;
-    entry.boot_unix = ToMicros(drains_.EffectiveStart(entry.uid, ToTimePoint(entry.boot_unix)));
-    if (entry.state != EndpointState::kRemoved && !(known.endpoint == entry.endpoint)) {
-      std::uint32_t a = entry.endpoint.address;
-      log_.Info("server %u is %s at %u.%u.%u.%u:%u", known.id, entry.uid.c_str(), a >> 24, a >> 16 & 255,
-                a >> 8 & 255, a & 255, entry.endpoint.port);
-      known.endpoint = entry.endpoint;
+    if (listed.state == EndpointState::kRemoved) {
+      owners_.OnRemoved(listed.uid);
+    } else {
+      owners_.OnListed(listed.uid, listed.endpoint, listed.boot_unix);
     }
-    listed_uids.insert(entry.uid);
-    if (entry.state != EndpointState::kRemoved) upstream_->SetEndpoint(known.id, entry.endpoint);
-    if (entry.state == EndpointState::kDraining) draining.push_back(known.id);
-    balancer::ServerEntry server;
-    server.id = known.id;
-    server.zone = entry.zone;
-    server.kind = entry.kind;
-    server.cell = entry.cell;
-    server.state = Translate(entry.state);
-    server.concurrency = entry.concurrency;
-    // The event loop's clock starts as Unix time and is never adjusted, so a start time is the same in each
-    // list. A changed start time would count as a restart.
-    server.started_at = entry.boot_unix;
-    event.entries.push_back(server);
-    if (entry.state != EndpointState::kRemoved) continue;
-    removed.push_back(known.id);
-    servers_by_uid_.erase(it);
   }
-  // Forgets removed servers, so that the tables do not grow as servers are replaced.
-  if (list.kind == EndpointList::Kind::kSnapshot || list.kind == EndpointList::Kind::kCached) {
-    std::erase_if(servers_by_uid_, [&](const auto& known) {
-      bool missing = listed_uids.count(known.first) == 0;
-      if (missing) removed.push_back(known.second.id);
-      return missing;
-    });
+  std::set<std::string> affected = owners_.TakeAffected();
+  if (affected.empty()) return {};
+  for (const EndpointEntry& listed : list.entries) affected.erase(listed.uid);
+  std::vector<EndpointEntry> entries;
+  for (const std::string& uid : affected) {
+    const auto known = servers_by_uid_.find(uid);
+    if (known != servers_by_uid_.end()) entries.push_back(known->second.listed);
   }
-  // The module is updated first: attempts cancelled below must not be retried on another server that is
-  // draining too.
-  Deliver(std::move(event));
-  for (ServerId id : draining) upstream_->StopUsing(id);
-  for (ServerId id : removed) upstream_->Remove(id);
+  return entries;
+}
+
+balancer::ServerEntry RequestDispatcher::ApplyEndpoint(const EndpointEntry& listed, Micros previous_list_at,
+                                                       EndpointChanges* changes) {
+  const auto [it, inserted] = servers_by_uid_.try_emplace(listed.uid);
+  KnownServer& known = it->second;
+  if (inserted) known.id = ++last_server_id_;
+  known.listed = listed;
+  const EndpointEntry entry = EffectiveEntry(&known, previous_list_at);
+  if (entry.state == EndpointState::kRemoved) {
+    changes->removed.push_back(known.id);
+  } else {
+    LogIfMoved(&known);
+    upstream_->SetEndpoint(known.id, entry.endpoint);
+  }
+  if (entry.state == EndpointState::kDraining) changes->draining.push_back(known.id);
+  balancer::ServerEntry server;
+  server.id = known.id;
+  server.zone = entry.zone;
+  server.kind = entry.kind;
+  server.cell = entry.cell;
+  server.state = Translate(entry.state);
+  server.concurrency = entry.concurrency;
+  // The event loop's clock starts as Unix time and is never adjusted, so a start time is the same in each
+  // list. A changed start time would count as a restart.
+  server.started_at = entry.boot_unix;
+  if (listed.state == EndpointState::kRemoved) servers_by_uid_.erase(it);
+  return server;
+}
+
+// What is listed, combined with what this process knows: bounded start times, administrative drains, and who
+// owns the address.
+EndpointEntry RequestDispatcher::EffectiveEntry(KnownServer* known, Micros previous_list_at) {
+  EndpointEntry entry = known->listed;
+  entry.boot_unix = start_times_.Update(entry.uid, entry.boot_unix, loop_.Now(), previous_list_at);
+  entry.boot_unix = ToMicros(drains_.EffectiveStart(entry.uid, ToTimePoint(entry.boot_unix)));
+  if (entry.state == EndpointState::kRemoved) return entry;
+  if (drains_.IsDrained(entry.uid)) entry.state = EndpointState::kDraining;
+  const bool was_superseded = std::exchange(known->superseded, owners_.IsSuperseded(entry.uid));
+  if (known->superseded) entry.state = EndpointState::kRemoved;
+  if (known->superseded && !was_superseded)
+    log_.Info("server %u (%s) is not used: another server is listed at its address", known->id,
+              entry.uid.c_str());
+  return entry;
+}
+
+void RequestDispatcher::LogIfMoved(KnownServer* known) {
+  const EndpointEntry& listed = known->listed;
+  if (known->endpoint == listed.endpoint) return;
+  known->endpoint = listed.endpoint;
+  log_.Info("server %u is %s at %s", known->id, listed.uid.c_str(), ToString(listed.endpoint).c_str());
 }
 
 // ---- Actions ----
--- a/src/dispatch/request_dispatcher.hpp
+++ b/src/dispatch/request_dispatcher.hpp
@@ -18,6 +18,7 @@
 #include "base/payload.hpp"
 #include "dappletiller/balancer.hpp"
 #include "dispatch/counters.hpp"
+#include "dispatch/endpoint_owners.hpp"
 #include "dispatch/request_classes.hpp"
 #include "dispatch/sent_ids.hpp"
 #include "dispatch/server_start_times.hpp"
@@ -116,7 +117,13 @@
   struct KnownServer {
     ServerId id = 0;
     Endpoint endpoint;
-    EndpointEntry listed;  // as last listed by discovery
+    EndpointEntry listed;     // as last listed by discovery
+    bool superseded = false;  // its address belongs to a newer server (EndpointOwners): it is not used
+  };
+  // What a list changes for the upstream transport.
+  struct EndpointChanges {
+    std::vector<ServerId> draining;
+    std::vector<ServerId> removed;
   };
 
   void Deliver(balancer::Event event);
@@ -124,6 +131,12 @@
   void LogClassChanges(const std::vector<NamedClass>& all) const;
   // `previous_list_at`: when discovery last answered before this list; 0: never.
   void ApplyEndpoints(const EndpointList& list, Micros previous_list_at);
+  std::vector<ServerId> ForgetMissing(const EndpointList& list);
+  std::vector<EndpointEntry> UpdateOwners(const EndpointList& list);
+  balancer::ServerEntry ApplyEndpoint(const EndpointEntry& listed, Micros previous_list_at,
+                                      EndpointChanges* changes);
+  EndpointEntry EffectiveEntry(KnownServer* known, Micros previous_list_at);
+  void LogIfMoved(KnownServer* known);
   void ReapplyEndpoint(const std::string& uid);
   void Execute(const balancer::Send& action);
   void Execute(const balancer::Reject& action);
@@ -167,6 +180,7 @@
   Timer log_counters_;
   drain::AdministrativeDrains drains_;
   ServerStartTimes start_times_;
+  EndpointOwners owners_;
   Micros last_list_at_ = 0;  // time of discovery's last response; 0: none yet
 };
 
