--- a/src/dispatch/server_start_times.hpp
+++ b/src/dispatch/server_start_times.hpp
@@ -2,7 +2,9 @@
 //
 // Discovery lists start times that were read from wall clocks, and those may be stepped. So a start time that
 // is listed anew is bounded by what this process has seen on its monotonic clock: the server started at the
-// latest now, and not before discovery answered without that start. Pure: no I/O, no clock.
+// latest now, and not before discovery answered without that start. The first list has no such bound; there,
+// a server that looks as if it had started some whole hours ago may have started just now, since wrong clocks
+// are mostly off by whole hours (time zones, summer time). Pure: no I/O, no clock.
 #ifndef DAPPLETILLER_DISPATCH_SERVER_START_TIMES_HPP_
 #define DAPPLETILLER_DISPATCH_SERVER_START_TIMES_HPP_
 
