Let a client take its time for a long request as long as its bytes come

Cause: one bound of 2.4 s for a whole request, whatever its size.

Change: the bound grows with the body that has come, at 32 kB/s. 2.4 s without any byte end it, as before for small ones, so that a client that stops has its error within 3 s.

Tests in long_body_test: steady at 64 kB/s, stopped half way, trickling at 3 kB/s.

--- a/src/downstream/connection.cpp
+++ b/src/downstream/connection.cpp
@@ -11,9 +11,12 @@
 namespace {
 
 constexpr int kMaxRequestsPerRound = 8;  // of one client
-// Maximum time to receive a request, from its first byte or from connecting. A client that sends no complete
-// request must get an error or a close within 3 s of connecting.
+// Maximum time to receive a request, from its first byte or from connecting, and maximum time without any of
+// its bytes. A client that sends no complete request must get an error or a close within 3 s of connecting.
 constexpr Micros kReceiveTimeout = 2'400'000;
+// A body may take more time, as long as it comes at this rate: half of what clients may be as slow as.
+constexpr std::uint64_t kMinBodyBytesPerSecond = 32'000;
+constexpr Micros kMicrosPerSecond = 1'000'000;
 constexpr Micros kIdleTimeout = 2'100'000;  // without any request; clients must be allowed 2 s
 // Minimum time after connecting before an idle connection is closed.
 constexpr Micros kFirstRequestGrace = 100'000;
@@ -48,11 +51,22 @@
     CloseUnlessProgress(kIdleTimeout);
     return;
   }
-  const Micros remaining =
-      awaiting_first_request_ ? connected_at_ + kReceiveTimeout - listener_.loop_.Now() : kReceiveTimeout;
-  timer_.Set(remaining, [this] {
-    Reject(kRequestTimeout, "the request took too long to arrive", ClientClose::kLateRequest);
-  });
+  receiving_since_ = awaiting_first_request_ ? connected_at_ : listener_.loop_.Now();
+  last_received_at_ = std::max(last_received_at_, receiving_since_);
+  timer_.Set(ReceiveDeadline() - listener_.loop_.Now(), [this] { CheckReceiveTime(); });
+}
+
+Micros DownstreamListener::Connection::ReceiveDeadline() const {
+  const std::uint64_t body_bytes = parser_.in_body() ? parser_.body_size() : 0;
+  const auto body_time = static_cast<Micros>(body_bytes * kMicrosPerSecond / kMinBodyBytesPerSecond);
+  return kReceiveTimeout + std::min(receiving_since_ + body_time, last_received_at_);
+}
+
+void DownstreamListener::Connection::CheckReceiveTime() {
+  const Micros remaining = ReceiveDeadline() - listener_.loop_.Now();
+  if (remaining <= 0)
+    return Reject(kRequestTimeout, "the request took too long to arrive", ClientClose::kLateRequest);
+  timer_.Set(remaining, [this] { CheckReceiveTime(); });
 }
 
 bool DownstreamListener::Connection::CloseIfUnused() {
@@ -93,6 +107,7 @@
 
 void DownstreamListener::Connection::OnReceived(std::size_t count) {
   if (state_ == State::kClosing) return;
+  last_received_at_ = listener_.loop_.Now();
   if (parser_.done() || parser_.bad() || pipeline_overflow_) return BufferPipelined(count);
   const bool is_first_byte = !parser_.begun();
   parser_.Commit(count);
--- a/src/downstream/connection.hpp
+++ b/src/downstream/connection.hpp
@@ -64,6 +64,8 @@
  private:
   enum class State { kReading, kWaiting, kWriting, kClosing };
 
+  Micros ReceiveDeadline() const;
+  void CheckReceiveTime();
   void BufferPipelined(std::size_t count);
   Micros ReceivedAt() const;
   bool ReserveMemory(std::size_t bytes);
@@ -97,7 +99,9 @@
   RequestId dispatched_id_ = 0;
   Micros connected_at_;
   ReceiveTimes received_;
-  Micros last_byte_at_ = 0;                // of the request taken last
+  Micros receiving_since_ = 0;   // first byte of the request in progress, or when the client connected
+  Micros last_received_at_ = 0;  // last bytes of it
+  Micros last_byte_at_ = 0;      // of the request taken last
   MemoryBudget::Reservation reservation_;  // for what the parser has buffered
   bool awaiting_first_request_ = true;     // no complete request yet
   bool keep_alive_ = true;
--- a/tests/net/long_body_test.cpp
+++ b/tests/net/long_body_test.cpp
@@ -305,6 +305,51 @@
   CheckSettled(fixture);
 }
 
+// Writes a request's body at a rate, in bytes per second, up to `until` bytes, or until the client is
+// answered.
+void WriteSteadily(ProxyFixture& fixture, TestConnection& client, const std::string& request,
+                   std::size_t rate, std::size_t until) {
+  const Micros began = fixture.loop.Now();
+  std::size_t sent = 0;
+  fixture.WaitUntil("the request is written, or answered", [&] {
+    const auto due = static_cast<std::size_t>(fixture.loop.Now() - began) * rate / 1'000'000;
+    if (sent < std::min(due, until))
+      sent += client.TrySend(std::string_view(request).substr(sent, std::min(due, until) - sent));
+    return sent == until || client.HasReceived("\r\n\r\n");
+  });
+}
+
+TEST_CASE("a client that writes a long request steadily, if slowly, is cut off") {
+  ProxyFixture fixture = FixtureWithMemory(1024 * 1024);
+  TestServer server;
+  fixture.SetEndpoints({&server});
+  const std::string body = LongBody(250'000, 'q');  // takes 3.9 s
+  const std::string request = UnsafeRequest("a1", body);
+  TestConnection client = fixture.ConnectClient();
+  WriteSteadily(fixture, client, request, 64'000, request.size());
+  CHECK(client.text.empty());
+  TestConnection& upstream = fixture.WaitForRequest(server, "a1");
+  fixture.WaitForData(upstream, body.substr(body.size() - 100));
+  upstream.Send(Response(200, "served"));
+  fixture.WaitForData(client, "served");
+}
+
+TEST_CASE("a client that does not complete its long request has no error within 3 s") {
+  ProxyFixture fixture = FixtureWithMemory(1024 * 1024);
+  const std::string request = UnsafeRequest("a1", LongBody(900'000, 'q'));
+  TestConnection client = fixture.ConnectClient();
+  const Micros connected = fixture.loop.Now();
+  Micros since = connected;
+  SUBCASE("it stops") {
+    WriteSteadily(fixture, client, request, 10'000'000, 500'000);
+    since = fixture.loop.Now();
+  }
+  SUBCASE("it trickles") { WriteSteadily(fixture, client, request, 3'000, request.size()); }
+  fixture.WaitForData(client, "HTTP/1.1 408 ");
+  CHECK(fixture.loop.Now() - since < 3'000 * kMs);
+  fixture.WaitUntil("its memory is released", [&] { return fixture.long_bodies->used() == 0; });
+}
+
 TEST_CASE("body memory: shares grow within the common limit and release their memory") {
   auto memory = std::make_shared<MemoryBudget>(100);
   MemoryBudget::Reservation none;
