--- a/review/stand_2/stand.py
+++ b/review/stand_2/stand.py
@@ -144,6 +144,7 @@
             while True:
                 line, headers = await read_head(reader)
                 request = Request(line, headers, await read_body(reader, headers))
+                request.reader = reader
                 if request.target.split("?")[0] in ("/alive", "/metrics/load"):
                     writer.write(answer(200))
                     continue
@@ -317,7 +318,7 @@
     run = Run(os.path.dirname(os.path.abspath(case_file)))
 
     async def limited():
-        return await asyncio.wait_for(body(run), 110)
+        return await asyncio.wait_for(body(run), 112)
 
     result = CANNOT_RUN
     try:
