Review case 6: clients that send hundreds of requests at once exhaust memory

Cause, as far as known: pipelined bytes are counted as they are buffered, not as the string that holds them has allocated; what is taken frees the budget, but not the allocation, until the connection ends. Added: review/6 with its script.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,156 +1,102 @@
-"""Good answers that come twice, up to some milliseconds apart, while the next request is on its way."""
-import array
+"""Bad clients send hundreds of requests at once; the process passes its limit on memory and is killed."""
 import asyncio
-import fcntl
 import os
 import random
 import sys
-import termios
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand_2"))
 import stand
 from stand import BROKEN, HELD, TROUBLE
 
-# nairobi-main
-ONE_WAY_MS = {True: (0.11, 0.31), False: (0.5, 0.93)}  # within a data centre, and between the two
-TWICE = 0.05             # share of the good answers that bring a second copy
-LATE = (0.0002, 0.003)   # seconds: "straight after", "some milliseconds late"
-SERVERS = 9
-CORES, SPEED = 4, 1.25
-SECONDS, RATE = 45, 70   # of each of the two proxies
-PROXIES = 2
-SHARES = {"limit-check": 0.48, "plan-open": 0.31, "instalment-pay": 0.21}
-SMALL, LARGE = (0.04, 0.10), (0.25, 0.45)  # seconds of work; a third of the requests are large
+MEMORY_MB = 32           # "32 to 192 MB"
+SOCKETS = 1024           # "256 to 1,024 descriptors"
+BAD = 350 if TROUBLE else 0  # connections of bad clients: "by the hundred"
+AT_ONCE = 400            # requests that each of them sends at once: "hundreds"
+BEFORE, SECONDS, RATE = 3, 20, 60
+TIMEOUT_MS = 1500
 
 
-class Link:
-    """The network between the proxies and a plan server: delays what passes, in order, and loses nothing."""
-
-    def __init__(self, server, near):
-        self.server = server
-        self.one_way = random.uniform(*ONE_WAY_MS[near]) / 1000
+async def serve(server, request, writer):
+    await asyncio.sleep(random.uniform(0.05, 0.15))
+    writer.write(stand.answer(200, b"x" * 200))
 
-    async def start(self):
-        self.listener = await asyncio.start_server(self.on_connection, "127.0.0.1", 0, backlog=512)
-        self.server.endpoint = "127.0.0.1:%d" % self.listener.sockets[0].getsockname()[1]
 
-    async def on_connection(self, reader, writer):
+async def bad_client(run, proxy, end):
+    """Sends all of its requests, reads whatever comes, and does the same again when its connection has ended."""
+    while time.time() < end and not run.killed_at:
+        data = b"".join(stand.request_bytes("limit-check", stand.new_id(), TIMEOUT_MS) for _ in range(AT_ONCE))
         try:
-            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.server.port)
-        except OSError:
+            reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+            writer.write(data)
+            while await asyncio.wait_for(reader.read(65536), 5):
+                pass
             writer.close()
-            return
-        await asyncio.gather(self.carry(reader, far_writer), self.carry(far_reader, writer))
-
-    async def carry(self, reader, writer):
-        loop = asyncio.get_running_loop()
-
-        def give(data):
-            if data:
-                writer.write(data)
-            elif not writer.is_closing():
-                writer.close()
-        while True:
-            try:
-                data = await reader.read(65536)
-            except (ConnectionError, OSError):
-                data = b""
-            loop.call_later(self.one_way, give, data)
-            if not data:
-                return
-
-
-def nothing_waits(request, writer):
-    """Whether no byte of a further request has come to the server's machine on this connection."""
-    count = array.array("i", [0])
-    fcntl.ioctl(writer.get_extra_info("socket").fileno(), termios.FIONREAD, count)
-    return writer.last is request and not request.reader._buffer and count[0] == 0
-
-
-def second_copy(server, request, writer, data):
-    if writer.is_closing() or not nothing_waits(request, writer):
-        return
-    server.record.say("%s sends a second copy of its answer to %s" % (server.uid, request.id))
-    server.copies += 1
-    writer.write(data)
+        except (ConnectionError, OSError, asyncio.TimeoutError):
+            await asyncio.sleep(0.05)
 
 
-async def serve(server, request, writer):
-    writer.last = request
-    async with server.cores:
-        await asyncio.sleep(int(request.headers["work-hint"]) / 1e6 / SPEED)
-    data = stand.answer(200, ("done " + request.id).encode())
-    writer.write(data)
-    if TROUBLE and random.random() < TWICE:
-        asyncio.get_running_loop().call_later(random.uniform(*LATE), second_copy, server, request, writer, data)
-
-
-async def one(run, proxy, name):
+async def usual(run, proxy):
     request_id = stand.new_id()
-    timeout_ms = int(next(c["giveUp"] for c in stand.CLASSES if c["name"] == name) / 1000 * random.uniform(0.5, 0.8))
-    hint = random.uniform(*(LARGE if random.random() < 0.33 else SMALL))
-    connection = proxy.idle.pop() if proxy.idle else None
-    run.sent += 1
+    run.open.add(request_id)
+    result = "none"
     try:
-        if connection is None:
-            connection = await asyncio.open_connection("127.0.0.1", proxy.port)
-        reader, writer = connection
-        writer.write(stand.request_bytes(name, request_id, timeout_ms, int(hint * 1e6)))
-        run.record.say("client sends %s (%s)" % (request_id, name))
-        line, headers = await asyncio.wait_for(stand.read_head(reader), timeout_ms / 1000 + 0.5)
-        body = (await stand.read_body(reader, headers)).decode().strip()
-        status = int(line.split(" ")[1])
-        run.statuses[status] = run.statuses.get(status, 0) + 1
-        run.record.say("answer to %s: %d %s" % (request_id, status, body))
-        if status == 200 and body != "done " + request_id:
-            run.foreign.append((request_id, name, body))
-        if headers.get("connection", "").lower() == "close":
-            writer.close()
-        else:
-            proxy.idle.append(connection)
+        reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+        writer.write(stand.request_bytes("limit-check", request_id, TIMEOUT_MS, 80000))
+        line, _ = await asyncio.wait_for(stand.read_head(reader), TIMEOUT_MS / 1000 + 0.55)
+        result = line.split(" ")[1]
+        writer.close()
     except (asyncio.IncompleteReadError, ConnectionError, OSError, asyncio.TimeoutError) as e:
-        run.statuses["none"] = run.statuses.get("none", 0) + 1
         run.record.say("no answer to %s: %s" % (request_id, type(e).__name__))
-        if connection:
-            connection[1].close()
-
-
-async def clients(run, proxy):
-    proxy.idle, tasks = [], []
-    end = time.time() + SECONDS
-    while time.time() < end:
-        name = random.choices(list(SHARES), list(SHARES.values()))[0]
-        tasks.append(asyncio.create_task(one(run, proxy, name)))
-        await asyncio.sleep(random.expovariate(RATE))
-    await asyncio.gather(*tasks)
+    run.open.discard(request_id)
+    run.results[result] = run.results.get(result, 0) + 1
+
+
+async def platform(run, proxy):
+    """Kills the proxy when its own memory (without the pages of the program and its libraries) is over its limit."""
+    while True:
+        with open("/proc/%d/status" % proxy.process.pid, encoding="utf-8") as f:
+            kb = sum(int(line.split()[1]) for line in f if line.startswith(("RssAnon:", "RssShmem:")))
+        run.peak = max(run.peak, kb)
+        if kb > MEMORY_MB * 1024:
+            run.killed_at = time.time()
+            run.killed_with = len(run.open)
+            proxy.process.kill()
+            run.record.both("the proxy holds %d kB of %d: killed, with %d usual requests open" % (
+                kb, MEMORY_MB * 1024, run.killed_with))
+            return
+        await asyncio.sleep(0.02)
 
 
 async def body(run):
-    run.sent, run.statuses, run.foreign = 0, {}, []
-    servers = [stand.PlanServer("s-%d" % i, serve, run.record, pod=i // 5,
-                                zone="westlands" if i < 5 else "upper-hill") for i in range(SERVERS)]
+    run.results, run.open, run.peak, run.killed_at = {}, set(), 0, 0
+    servers = [stand.PlanServer("s-%d" % i, serve, run.record) for i in range(9)]
     for server in servers:
-        server.cores, server.copies = asyncio.Semaphore(CORES), 0
+        server.record = type("Quiet", (), {"say": staticmethod(lambda text: None)})
         await server.start()
-        await Link(server, server.zone == "westlands").start()
     run.discovery = stand.Discovery(servers, run.record)
     await run.discovery.start()
-    for i in range(PROXIES):
-        proxy = stand.Proxy(run, "n%d" % i, balancers=PROXIES, me=i)
-        run.proxies.append(proxy)
-        proxy.start()
-    for proxy in run.proxies:
-        await proxy.wait_ready()
-    await asyncio.gather(*(clients(run, proxy) for proxy in run.proxies))
-    await asyncio.sleep(0.3)
-    run.record.both("%d requests, answers %s; %d second copies" % (
-        run.sent, run.statuses, sum(s.copies for s in servers)))
-    for request_id, name, got in run.foreign:
-        run.record.both("FOREIGN: the client of %s %s got '%s'" % (name, request_id, got))
-    if run.statuses.get(200, 0) < run.sent / 3:
-        raise stand.CannotRun("too few requests were served")
-    return BROKEN if run.foreign else HELD
+    proxy = stand.Proxy(run, sockets=SOCKETS, memory_mb=MEMORY_MB)
+    run.proxies.append(proxy)
+    proxy.start()
+    await proxy.wait_ready()
+    begun = time.time()
+    watch = asyncio.create_task(platform(run, proxy))
+    tasks = []
+    bad = []
+    while time.time() < begun + SECONDS and not run.killed_at:
+        if not bad and time.time() > begun + BEFORE:
+            run.record.say("%d bad clients begin" % BAD)
+            bad = [asyncio.create_task(bad_client(run, proxy, begun + SECONDS)) for _ in range(BAD)] or [None]
+        tasks.append(asyncio.create_task(usual(run, proxy)))
+        await asyncio.sleep(1 / RATE)
+    await asyncio.gather(*tasks)
+    watch.cancel()
+    if not run.killed_at and proxy.process.poll() is not None:
+        run.record.both("the proxy ended by itself: %s" % proxy.process.poll())
+        return BROKEN
+    run.record.both("own memory at most %d of %d kB; usual requests: %s" % (run.peak, MEMORY_MB * 1024, run.results))
+    return BROKEN if run.killed_at else HELD
 
 
 stand.main(__file__, body)
