--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,28 +11,29 @@
 
 MEMORY_MB = 32           # "32 to 192 MB"
 SOCKETS = 1024           # "256 to 1,024 descriptors"
-BAD = 310 if TROUBLE else 0   # connections; with the usual ones at most a third of the descriptors
-AT_ONCE = 400            # requests that each of them sends at once: "hundreds"
-BEFORE, SECONDS, RATE = 3, 20, 15
+BAD = 315 if TROUBLE else 0   # connections; with the usual ones at most a third of the descriptors
+AT_ONCE = 500            # requests that each of them sends at once: "hundreds"
+BEFORE, SECONDS, RATE = 3, 75, 15
+ANSWER = 60000           # bytes of an answer; "A body holds 64 KiB at most"
 TIMEOUT_MS = 1500
 
 
 async def serve(server, request, writer):
-    await asyncio.sleep(random.uniform(0.05, 0.15))
-    writer.write(stand.answer(200, b"x" * 200))
+    await asyncio.sleep(random.uniform(0.3, 0.7))
+    writer.write(stand.answer(200, b"x" * ANSWER))
 
 
 async def bad_client(run, proxy, end):
-    """Sends all of its requests, reads whatever comes, and does the same again when its connection has ended."""
+    """Sends all of its requests at once, reads the first answer's head, goes within a second, and comes again."""
     while time.time() < end and not run.killed_at:
         data = b"".join(stand.request_bytes("limit-check", stand.new_id(), TIMEOUT_MS) for _ in range(AT_ONCE))
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
             writer.write(data)
-            while await asyncio.wait_for(reader.read(65536), 5):
-                pass
-            writer.close()
-        except (ConnectionError, OSError, asyncio.TimeoutError):
+            await asyncio.wait_for(stand.read_head(reader), 4)
+            await asyncio.sleep(random.uniform(0, 1))
+            writer.transport.abort()
+        except (ConnectionError, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             await asyncio.sleep(0.05)
 
 
