--- a/src/downstream/connection.cpp
+++ b/src/downstream/connection.cpp
@@ -22,8 +22,9 @@
 constexpr Micros kFirstRequestGrace = 100'000;
 // Maximum pipelined data kept per client: one request of maximum size, or many small ones.
 constexpr std::size_t kMaxPipelinedBytes = http::kMaxHeadSize + http::kMaxBodySize;
-// Received data of each client that is buffered even if the memory for requests is used up.
-constexpr std::size_t kGuaranteedBytes = std::size_t{2} * 1024;
+// Memory of each client for received data even if the memory for requests is used up: the smallest buffer,
+// and the table of some headers.
+constexpr std::size_t kGuaranteedBytes = http::kMinReceiveBuffer + 512;
 
 constexpr int kOk = 200;
 constexpr int kRequestTimeout = 408;
@@ -100,18 +101,20 @@
 // Always reads, since the client's end of stream follows all data it sent, and requests of disconnected
 // clients must not be forwarded. Data that the parser cannot hold goes to a shared buffer.
 std::span<char> DownstreamListener::Connection::ReceiveBuffer() {
-  const bool discards = state_ == State::kClosing || pipeline_overflow_;
-  const std::span<char> buffer = discards ? std::span<char>() : parser_.ReceiveBuffer();
-  return buffer.empty() ? std::span<char>(listener_.discard_buffer_) : buffer;
+  const bool parser_receives =
+      state_ != State::kClosing && !pipeline_overflow_ && !parser_.done() && !parser_.bad();
+  memory_available_ = !parser_receives || ReserveMemory(parser_.AllocatedToReceive());
+  if (!parser_receives || !memory_available_) return listener_.discard_buffer_;
+  return parser_.ReceiveBuffer();
 }
 
 void DownstreamListener::Connection::OnReceived(std::size_t count) {
   if (state_ == State::kClosing) return;
   last_received_at_ = listener_.loop_.Now();
+  if (!memory_available_) return OnMemoryExhausted();
   if (parser_.done() || parser_.bad() || pipeline_overflow_) return BufferPipelined(count);
   const bool is_first_byte = !parser_.begun();
   parser_.Commit(count);
-  if (!ReserveMemory(parser_.buffered())) return OnMemoryExhausted();
   const Micros received_at = ReceivedAt();
   if (state_ != State::kReading) return received_.Add(count, parser_.buffered(), received_at);
   received_.Restart(parser_.buffered(), received_at);
@@ -126,8 +129,8 @@
 // the data is discarded and answered with an error in its turn.
 void DownstreamListener::Connection::BufferPipelined(std::size_t count) {
   if (parser_.bad() || pipeline_overflow_) return;
-  const std::size_t buffered = parser_.buffered() + count;
-  pipeline_overflow_ = buffered > kMaxPipelinedBytes || !ReserveMemory(buffered);
+  pipeline_overflow_ =
+      parser_.buffered() + count > kMaxPipelinedBytes || !ReserveMemory(parser_.AllocatedToFeed(count));
   if (pipeline_overflow_) return;
   parser_.Feed({listener_.discard_buffer_.data(), count});
   received_.Add(count, parser_.buffered(), listener_.loop_.EventsSince());
@@ -139,25 +142,30 @@
   return std::min(listener_.loop_.EventsSince(), listener_.loop_.Now() - socket.TimeSinceLastData());
 }
 
-// Reserves memory for `bytes` buffered bytes of this client; false: none is left. What a long body has
-// beyond kMaxPipelinedBytes is reserved by the parser.
+// Reserves `bytes` of memory for what the parser allocates; false: not available now.
 bool DownstreamListener::Connection::ReserveMemory(std::size_t bytes) {
   const std::shared_ptr<MemoryBudget>& memory = listener_.options_.request_memory;
   if (memory == nullptr) return true;
   if (!reservation_.has_budget()) reservation_ = MemoryBudget::Reservation(memory);
-  const std::size_t wanted = std::min(bytes, kMaxPipelinedBytes);
-  reservation_.GrowUnconditionallyTo(std::min(wanted, kGuaranteedBytes));
-  return reservation_.GrowTo(wanted);
+  reservation_.GrowUnconditionallyTo(std::min(bytes, kGuaranteedBytes));
+  return reservation_.GrowTo(bytes);
 }
 
+// The parser has freed memory, or has moved data to another buffer, which takes little more.
+void DownstreamListener::Connection::UpdateReservation() {
+  reservation_.ShrinkTo(parser_.allocated());
+  reservation_.GrowUnconditionallyTo(parser_.allocated());
+}
+
+// What has been received of the next request is dropped: it can no longer be completed.
 void DownstreamListener::Connection::OnMemoryExhausted() {
-  if (state_ != State::kReading) {
-    pipeline_overflow_ = true;
-    return;
-  }
   parser_ = http::Parser(http::Parser::Kind::kRequest, http::kMaxBodySize, listener_.options_.long_bodies);
   reservation_ = MemoryBudget::Reservation();
-  Reject(kServiceUnavailable, "no memory for a request is left now", ClientClose::kNoMemory);
+  if (state_ == State::kReading) {
+    Reject(kServiceUnavailable, "no memory for a request is left now", ClientClose::kNoMemory);
+  } else {
+    pipeline_overflow_ = true;
+  }
 }
 
 void DownstreamListener::Connection::OnClosed(StreamEnd) { listener_.Remove(*this); }
@@ -193,7 +201,8 @@
     Reject(kContentTooLarge, "too much data was sent before the response", ClientClose::kPipelined);
   if (!parser_.done() || !socket.open()) return false;
   const std::size_t buffered = parser_.buffered();
-  const http::MessageRef request = parser_.TakeMessage(reservation_.Split(parser_.expected_size()));
+  const http::MessageRef request = parser_.TakeMessage(&reservation_);
+  UpdateReservation();
   last_byte_at_ = received_.Take(buffered - parser_.buffered());
   keep_alive_ = request->keep_alive();
   client_is_http10_ = request->http10();
@@ -303,7 +312,9 @@
 
 // Whether data of a further request has been received. Closing the connection now would leave that request
 // without a response.
-bool DownstreamListener::Connection::NextRequestStarted() { return parser_.begun() || socket.IsStale(); }
+bool DownstreamListener::Connection::NextRequestStarted() {
+  return pipeline_overflow_ || parser_.begun() || socket.IsStale();
+}
 
 void DownstreamListener::Connection::StartWriting() {
   CloseUnlessProgress(listener_.options_.write_timeout);
@@ -326,7 +337,6 @@
     return;
   }
   state_ = State::kReading;
-  reservation_.ShrinkTo(parser_.buffered());
   StartReceiveTimeout();
   ProcessInput();
   socket.ResumeReading();
--- a/src/downstream/connection.hpp
+++ b/src/downstream/connection.hpp
@@ -69,6 +69,7 @@
   void BufferPipelined(std::size_t count);
   Micros ReceivedAt() const;
   bool ReserveMemory(std::size_t bytes);
+  void UpdateReservation();
   void OnMemoryExhausted();
 
   void ProcessInput();
@@ -102,7 +103,8 @@
   Micros receiving_since_ = 0;   // first byte of the request in progress, or when the client connected
   Micros last_received_at_ = 0;  // last bytes of it
   Micros last_byte_at_ = 0;      // of the request taken last
-  MemoryBudget::Reservation reservation_;  // for what the parser has buffered
+  MemoryBudget::Reservation reservation_;  // for what the parser has allocated
+  bool memory_available_ = true;           // for the data that is received next
   bool awaiting_first_request_ = true;     // no complete request yet
   bool keep_alive_ = true;
   bool client_is_http10_ = false;                           // according to the request taken last
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -51,9 +51,12 @@
     Part value;
     Part line;
   };
-  std::string_view View(Part part) const { return std::string_view(bytes_).substr(part.at, part.size); }
+  std::string_view View(Part part) const {
+    return std::string_view(bytes_.data(), bytes_.size()).substr(part.at, part.size);
+  }
+  std::size_t allocated() const { return bytes_.capacity() + headers_.capacity() * sizeof(Header); }
 
-  std::string bytes_;
+  std::vector<char> bytes_;  // grows by exactly what is asked for
   Part method_;
   Part target_;
   Part body_;
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -10,8 +10,11 @@
 namespace dappletiller::http {
 namespace {
 
-constexpr std::size_t kMinReceiveBuffer = 2048;
 constexpr std::size_t kMaxChunkLineSize = 256;
+// What a message without a length may allocate beyond its head and body: the rest of a chunk line, and room
+// for the next bytes.
+constexpr std::size_t kMaxUnsizedSurplus = 2 * kMinReceiveBuffer;
+static_assert(kMaxChunkLineSize <= kMinReceiveBuffer);
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
@@ -22,6 +25,7 @@
 constexpr int kSwitchingProtocols = 101;
 
 std::uint32_t ToPlace(std::size_t at) { return static_cast<std::uint32_t>(at); }
+std::ptrdiff_t ToOffset(std::size_t at) { return static_cast<std::ptrdiff_t>(at); }
 
 bool HasNoBody(int status) { return status == 204 || status == 304; }
 bool IsInterim(int status) { return status < 200 && status != kSwitchingProtocols; }
@@ -43,19 +47,49 @@
 
 // ---- Bytes in, messages out ----
 
-std::span<char> Parser::ReceiveBuffer(std::size_t max_size) {
-  if (done() || bad() || must_stream_) return {};
-  std::string& bytes = message_->bytes_;
-  std::size_t wanted = std::min(kMinReceiveBuffer, max_size);
-  if (streaming_) wanted = max_size;
+// By how many bytes the message's buffer grows when it is full.
+std::size_t Parser::BufferGrowth(std::size_t max_size) const {
   if (state_ == State::kSizedBody) {
-    wanted = std::clamp(remaining_, std::size_t{1}, max_size);
-    // Instead of growing to up to twice the size.
-    if (!streaming_) bytes.reserve(received_ + remaining_);
+    // Who has sent a whole receive buffer is expected to send the rest.
+    const bool takes_rest = !streaming_ && received_ >= kMaxReceiveBuffer;
+    return takes_rest ? remaining_ : std::min(remaining_, max_size);
   }
-  const std::size_t room = bytes.size() - received_;
-  if (room < wanted / 2 || room == 0) bytes.resize(received_ + wanted);
-  return {bytes.data() + received_, std::min(bytes.size() - received_, max_size)};
+  if (streaming_) return max_size;
+  if (state_ == State::kHead) return std::max(received_, kMinReceiveBuffer);
+  const std::size_t expected = expected_size();
+  const std::size_t limit = expected > received_ ? expected - received_ : received_;
+  return std::max(std::min(std::max(received_, kMaxReceiveBuffer), limit), kMinReceiveBuffer);
+}
+
+// The capacity of the message's buffer for the next bytes.
+std::size_t Parser::CapacityToReceive(std::size_t max_size) const {
+  const std::size_t capacity = message_->bytes_.capacity();
+  const std::size_t room = capacity - received_;
+  const bool holds_rest = state_ == State::kSizedBody && room >= remaining_;
+  return holds_rest || room >= kMinReceiveBuffer / 2 ? capacity : received_ + BufferGrowth(max_size);
+}
+
+std::size_t Parser::MessageMemory(std::size_t growth) const {
+  const std::size_t total = message_->allocated() + growth;
+  return total - std::min(total, message_->long_body_.size());
+}
+
+std::size_t Parser::AllocatedToReceive(std::size_t max_size) const {
+  if (!CanReceive()) return allocated();
+  const std::size_t growth = CapacityToReceive(max_size) - message_->bytes_.capacity();
+  return MessageMemory(growth) + pending_.allocated();
+}
+
+std::size_t Parser::AllocatedToFeed(std::size_t count) const {
+  return MessageMemory() + pending_.AllocatedAfterAppend(count);
+}
+
+std::span<char> Parser::ReceiveBuffer(std::size_t max_size) {
+  if (!CanReceive()) return {};
+  std::vector<char>& bytes = message_->bytes_;
+  bytes.reserve(CapacityToReceive(max_size));
+  bytes.resize(std::min(bytes.capacity(), received_ + max_size));
+  return std::span(bytes).subspan(received_);
 }
 
 void Parser::Commit(std::size_t count) {
@@ -65,7 +99,7 @@
 
 void Parser::Feed(std::string_view bytes) {
   if (bad()) return;
-  pending_.append(bytes);
+  pending_.Append(bytes);
   ParsePending();
 }
 
@@ -90,12 +124,14 @@
     case State::kBodyUntilEnd:
       break;
   }
-  return body_at + max_body_size_;
+  return body_at + max_body_size_ + kMaxUnsizedSurplus;
 }
 
-MessageRef Parser::TakeMessage(MemoryBudget::Reservation memory) {
-  message_->memory_ = std::move(memory);
+MessageRef Parser::TakeMessage(MemoryBudget::Reservation* memory) {
   ReturnToPending();
+  message_->bytes_.shrink_to_fit();
+  message_->long_body_.ShrinkTo(next_ - std::min(next_, max_body_size_));
+  if (memory != nullptr) message_->memory_ = memory->Split(MessageMemory());
   MessageRef taken = std::exchange(message_, std::make_unique<Message>());
   state_ = State::kHead;
   received_ = scanned_ = next_ = body_end_ = remaining_ = trailer_size_ = 0;
@@ -109,10 +145,11 @@
 MessageRef Parser::TakeHead(MemoryBudget::Reservation memory) {
   message_->memory_ = std::move(memory);
   const std::size_t head_end = message_->body_.at;
+  std::vector<char>& bytes = message_->bytes_;
   auto rest = std::make_unique<Message>();
-  rest->bytes_ = std::move(message_->bytes_);
-  message_->bytes_.assign(rest->bytes_, 0, head_end);
-  rest->bytes_.erase(0, head_end);
+  rest->bytes_.assign(bytes.begin() + ToOffset(head_end), bytes.begin() + ToOffset(received_));
+  bytes.resize(head_end);
+  bytes.shrink_to_fit();
   received_ -= head_end;
   next_ -= head_end;
   body_end_ -= head_end;
@@ -123,17 +160,12 @@
   return head;
 }
 
+// The buffer is freed, since the stream may wait for its client for long.
 std::string Parser::TakeBody() {
-  std::string& bytes = message_->bytes_;
+  std::vector<char>& bytes = message_->bytes_;
+  std::string part(bytes.data(), body_end_);
+  bytes = std::vector<char>(bytes.begin() + ToOffset(body_end_), bytes.begin() + ToOffset(received_));
   streamed_ += body_end_;
-  std::string part;
-  if (body_end_ == received_) {
-    bytes.resize(received_);
-    part = std::exchange(bytes, {});
-  } else {
-    part.assign(bytes, 0, body_end_);
-    bytes.erase(0, body_end_);
-  }
   received_ -= body_end_;
   next_ -= body_end_;
   body_end_ = 0;
@@ -143,31 +175,19 @@
 // Takes the bytes behind a complete message out of it: they belong to the next one, and the message may be
 // kept for long.
 void Parser::ReturnToPending() {
-  const std::size_t behind = received_ - next_;
-  if (pending_begin_ >= behind) {
-    pending_begin_ -= behind;  // they came from there
-  } else {
-    pending_.replace(0, pending_begin_, message_->bytes_, next_, behind);
-    pending_begin_ = 0;
-  }
+  std::vector<char>& bytes = message_->bytes_;
+  pending_.Prepend({bytes.data() + next_, received_ - next_});
   received_ = next_;
-  message_->bytes_.resize(next_);
-  const bool mostly_parsed = pending_begin_ > pending_.size() / 2;
-  if (mostly_parsed) pending_.erase(0, std::exchange(pending_begin_, 0));
+  bytes.resize(next_);
 }
 
 // Parses pending bytes up to the end of the next message.
 void Parser::ParsePending() {
-  while (pending_begin_ < pending_.size()) {
+  while (!pending_.empty()) {
     const std::span<char> buffer = ReceiveBuffer();
     if (buffer.empty()) return;
-    const std::size_t count = std::min(buffer.size(), pending_.size() - pending_begin_);
-    std::memcpy(buffer.data(), pending_.data() + pending_begin_, count);
-    pending_begin_ += count;
-    Commit(count);
+    Commit(pending_.Read(buffer));
   }
-  pending_.clear();
-  pending_begin_ = 0;
 }
 
 void Parser::Run() {
@@ -356,7 +376,8 @@
 
 // Reserves memory for a body of `size` bytes; if it is not available, the message fails.
 bool Parser::ReserveBody(std::uint64_t size) {
-  const std::uint64_t beyond = size - max_body_size_;
+  std::uint64_t beyond = size - max_body_size_;
+  if (!message_->content_length_) beyond += size;  // its buffer is doubled when it is full
   const bool may_ever =
       long_bodies_ != nullptr && size <= kMaxLongBodySize && beyond <= long_bodies_->limit();
   if (!may_ever) return Fail(kContentTooLarge);
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -4,6 +4,10 @@
 // Invariants: a head has at most kMaxHeadSize bytes and kMaxHeaders headers, a body is within its limits, and
 // the buffered data is within both. A message with ambiguous framing is rejected, since differing
 // interpretations permit request smuggling.
+//
+// Memory: the owner reserves it, by what is allocated and before it is allocated. The buffer of a message in
+// progress is doubled when it is full, as far as the message may need it; a body of stated length gets a
+// receive buffer at first and then the whole. Bytes behind a complete message are kept in a ByteQueue.
 #ifndef DAPPLETILLER_HTTP_PARSER_HPP_
 #define DAPPLETILLER_HTTP_PARSER_HPP_
 
@@ -14,6 +18,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/byte_queue.hpp"
 #include "base/memory_budget.hpp"
 #include "http/message.hpp"
 
@@ -21,6 +26,7 @@
 
 constexpr std::size_t kMaxHeadSize = std::size_t{16} * 1024;
 constexpr std::size_t kMaxHeaders = 100;
+constexpr std::size_t kMinReceiveBuffer = std::size_t{2} * 1024;
 constexpr std::size_t kMaxReceiveBuffer = std::size_t{16} * 1024;
 constexpr std::size_t kMaxBodySize = std::size_t{64} * 1024;  // of a message that is held whole
 // Of a request, while memory for the part above kMaxBodySize is available.
@@ -63,16 +69,23 @@
   // The body is too large to be held: nothing more is received before TakeHead. Only with EnableStreaming.
   bool must_stream() const { return must_stream_; }
   // Buffered bytes, including those of later messages.
-  std::size_t buffered() const { return received_ + pending_.size() - pending_begin_; }
+  std::size_t buffered() const { return received_ + pending_.size(); }
+  // Memory for the message in progress and the bytes behind it, in bytes, without what is reserved in
+  // `long_bodies`.
+  std::size_t allocated() const { return MessageMemory() + pending_.allocated(); }
+  // What allocated() will be after ReceiveBuffer.
+  std::size_t AllocatedToReceive(std::size_t max_size = kMaxReceiveBuffer) const;
+  // What allocated() will be at most after Feed of `count` bytes behind a complete message.
+  std::size_t AllocatedToFeed(std::size_t count) const;
   // Whether the client waits for "100 Continue" before it sends the body.
   bool wants_continue() const { return wants_continue_; }
   void continued() { wants_continue_ = false; }
-  // Bytes that the message in progress may come to have, not counting the part of its body above the usual
-  // limit; 0 while its head is incomplete.
+  // Bytes that the message in progress may come to allocate, not counting the part of its body above the
+  // usual limit; 0 while its head is incomplete.
   std::size_t expected_size() const;
-  // Returns the message, which must be done() and has expected_size() bytes, and continues with the bytes
-  // behind it. `memory`, reserved for the message, ends with it.
-  MessageRef TakeMessage(MemoryBudget::Reservation memory = {});
+  // Returns the message, which must be done(), and continues with the bytes behind it. What the message has
+  // allocated is taken from `memory`, if given, and stays reserved as long as the message exists.
+  MessageRef TakeMessage(MemoryBudget::Reservation* memory = nullptr);
 
   // Streaming: returns the head of the message that is in_body(), and from now on holds only what TakeBody
   // has not returned. Once done(), after the last TakeBody, TakeMessage returns an empty message and goes on
@@ -98,6 +111,12 @@
   // The body's framing according to the headers.
   struct Framing;
 
+  bool CanReceive() const { return !done() && !bad() && !must_stream_; }
+  // Of the message in progress when its buffer has grown by so many bytes, without what is reserved
+  // elsewhere.
+  std::size_t MessageMemory(std::size_t growth = 0) const;
+  std::size_t BufferGrowth(std::size_t max_size) const;
+  std::size_t CapacityToReceive(std::size_t max_size) const;
   void ReturnToPending();
   void ParsePending();
   void Run();
@@ -128,9 +147,7 @@
   State state_ = State::kHead;
   int error_status_ = 0;
   std::unique_ptr<Message> message_;
-  // Bytes behind a complete message, from `pending_begin_` on.
-  std::string pending_;
-  std::size_t pending_begin_ = 0;
+  ByteQueue pending_;  // bytes behind a complete message
   // Positions in the message's bytes.
   std::size_t received_ = 0;   // number of received bytes
   std::size_t scanned_ = 0;    // searched for the end of the head up to here
--- a/src/proxy/options.cpp
+++ b/src/proxy/options.cpp
@@ -12,8 +12,7 @@
 constexpr std::size_t kOwnDescriptors = 16 + Console::kMaxConnections;
 constexpr std::size_t kReservedDivisor = 8;  // one in this many connections is reserved for clients
 constexpr std::size_t kSlotsDivisor = 3;     // clients may use one in this many descriptors for requests
-// Parts of the process's memory. A growing buffer may be up to twice as large as its contents, and a parsed
-// list several times as large as its text.
+// Parts of the process's memory. A parsed list is several times as large as its text.
 constexpr double kRequestShare = 5.0 / 12;
 constexpr double kResponseShare = 5.0 / 24;
 constexpr double kLongBodyShare = 1.0 / 8;
--- a/src/proxy/resource_log.cpp
+++ b/src/proxy/resource_log.cpp
@@ -1,5 +1,7 @@
 #include "proxy/resource_log.hpp"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <charconv>
 #include <string>
@@ -48,11 +50,14 @@
   const std::size_t connections = components_.descriptors.used();
   if (connections == 0 && peak == reported_peak_) return;
   reported_peak_ = peak;
+  const struct mallinfo2 heap = ::mallinfo2();
   components_.log.Important(
-      "resources: peak memory %ld of %zu MB; request data %zu kB, response data %zu kB, %zu responses wait "
-      "for memory; %zu of %zu "
-      "connections; %zu requests in the table; up %lld s",
+      "resources: peak memory %ld of %zu MB; heap %zu kB allocated, %zu kB free; request data %zu kB, "
+      "response "
+      "data %zu kB, %zu responses wait for memory; %zu of %zu connections; %zu requests in the table; up "
+      "%lld s",
       peak / kKilobytesPerMegabyte, components_.config.memory / kBytesPerMegabyte,
+      (heap.uordblks + heap.hblkhd) / kBytesPerKilobyte, heap.fordblks / kBytesPerKilobyte,
       components_.request_memory->used() / kBytesPerKilobyte,
       components_.response_memory->used() / kBytesPerKilobyte, components_.upstream.waiting_for_memory(),
       connections, components_.descriptors.limit(), components_.dispatcher.table_size(),
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -92,9 +92,9 @@
 
 bool UpstreamPool::Connection::ReserveMemory() {
   if (!memory_.has_budget() || stream_ != nullptr) return true;
-  const std::size_t expected = parser_.expected_size();
-  memory_.GrowUnconditionallyTo(std::max(kGuaranteedBytes, parser_.buffered()));
-  return memory_.GrowTo(expected);
+  const std::size_t needed = parser_.in_body() ? parser_.allocated() : parser_.AllocatedToReceive();
+  memory_.GrowUnconditionallyTo(std::max(kGuaranteedBytes, needed));
+  return memory_.GrowTo(parser_.expected_size());
 }
 
 void UpstreamPool::Connection::ResumeReading() {
@@ -153,9 +153,8 @@
 
 void UpstreamPool::Connection::OnResponse() {
   timer.Clear();
-  memory_.ShrinkTo(parser_.expected_size());
-  http::MessageRef response =
-      parser_.TakeMessage(std::exchange(memory_, MemoryBudget::Reservation(pool_.response_memory_)));
+  http::MessageRef response = parser_.TakeMessage(&memory_);
+  memory_.ShrinkTo(parser_.allocated());
   // After a response that precedes the end of the request, part of the request is still on the connection.
   reusable_ = response->keep_alive() && written_ && !parser_.begun();
   if (parser_.begun()) pool_.RecordExtraData(server);
--- a/tests/fault_injection/slow_clients_test.cpp
+++ b/tests/fault_injection/slow_clients_test.cpp
@@ -1,5 +1,5 @@
-// Hundreds of clients that write or read slowly, with the program as a process of limited memory. Each test
-// is named after the failure that it guards against.
+// Hundreds of clients that write or read slowly, or send much at once, with the program as a process of
+// limited memory. Each test is named after the failure that it guards against.
 #include <algorithm>
 #include <string>
 #include <string_view>
@@ -14,9 +14,10 @@
 constexpr int kClients = 320;
 constexpr int kSmallBuffer = 4'096;  // of a client's kernel
 
-std::string LimitedConfig(std::uint16_t server, const std::string& effect) {
+std::string LimitedConfig(std::uint16_t server, const std::string& effect,
+                          std::size_t memory = kMemoryKilobytes) {
   std::string config = ProgramConfig(0, server);
-  Replace(&config, "\"sockets\":256", "\"sockets\":1024,\"memory_mb\":48");
+  Replace(&config, "\"sockets\":256", "\"sockets\":1024,\"memory_mb\":" + std::to_string(memory / 1024));
   Replace(&config, "\"aim\":4000000", "\"aim\":20000000");
   Replace(&config, "\"effect\":\"free\"", "\"effect\":\"" + effect + "\"");
   Replace(&config, "\"dialTimeout\":250000", "\"dialTimeout\":5000000");
@@ -162,5 +163,93 @@
   MESSAGE(served << " of " << kClients << " served");
 }
 
+std::string HealthChecks(std::size_t total) {
+  return Repeat("GET /up HTTP/1.1\r\nPadding: " + std::string(900, 'p') + "\r\n\r\n", total);
+}
+
+// Clients that pipeline as much as is kept, and more once half of it has been answered. Their first, middle
+// and last requests go to the server; what is between them is answered at once.
+class PipeliningClients {
+ public:
+  // `name`: part of their requests' ids.
+  PipeliningClients(ProxyFixture& fixture, TestServer& server, std::uint16_t port, std::string name)
+      : fixture_(fixture), server_(server), port_(port), name_(std::move(name)) {}
+
+  void Connect(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) clients_.push_back(TestConnection::Connect(port_));
+    SendAll([this](std::size_t i) {
+      return Request("first", i) + HealthChecks(32'000) + Request("middle", i) + HealthChecks(37'000);
+    });
+    WaitForRequests("first");
+  }
+  // The server answers, and the proxy goes on to the next request for it.
+  void AnswerFirst() {
+    AnswerAll();
+    WaitForRequests("middle");
+    SendAll([this](std::size_t i) { return HealthChecks(40'000) + Request("last", i); });
+    const Micros read_by = fixture_.loop.Now() + kReadTime;
+    fixture_.WaitUntil("the proxy has read it", [&] { return fixture_.loop.Now() > read_by; });
+  }
+  void AnswerMiddle() {
+    AnswerAll();
+    WaitForRequests("last");
+  }
+
+ private:
+  static constexpr Micros kReadTime = 500 * kMs;
+
+  std::string Request(const std::string& which, std::size_t client) const {
+    return Post(name_ + "-" + which + "-" + std::to_string(client), 1, "x");
+  }
+  template <typename MakeBytes>
+  void SendAll(MakeBytes make_bytes) {
+    for (std::size_t i = 0; i < clients_.size(); ++i) clients_[i].Send(make_bytes(i));
+  }
+  void AnswerAll() {
+    for (TestConnection& at : server_.connections) {
+      if (!std::exchange(at.text, "").empty()) at.Send(Response(200, "served"));
+    }
+  }
+  void WaitForRequests(const std::string& which) {
+    const std::string id = "Request-Id: " + name_ + "-" + which;
+    fixture_.WaitUntil(id.c_str(), [&] {
+      for (TestConnection& client : clients_) client.Received();
+      while (server_.Accept()) {
+      }
+      const auto has_request = [&](TestConnection& at) {
+        return at.HasReceived(id) && at.HasReceived("\r\n\r\nx");
+      };
+      const auto count = std::count_if(server_.connections.begin(), server_.connections.end(), has_request);
+      return static_cast<std::size_t>(count) == clients_.size();
+    });
+  }
+
+  ProxyFixture& fixture_;
+  TestServer& server_;
+  std::uint16_t port_;
+  std::string name_;
+  std::vector<TestConnection> clients_;
+};
+
+TEST_CASE("memory of pipelined requests is kept after they have been answered") {
+  constexpr std::size_t kMemory = 32 * 1024;  // kilobytes; the least that the pages name
+  constexpr std::size_t kWave = 155;          // clients; two waves are within a third of the descriptors
+  TestServer server;
+  Program program(LimitedConfig(server.port, "single_shot", kMemory), {{"ASAN_OPTIONS", kSanitizerOptions}});
+  ProxyFixture fixture;  // only for its bounded waits
+  const std::uint16_t port = ReadPort(fixture, program, "started as n0 on port ");
+  const std::size_t before = program.PeakMemoryKilobytes();
+  PipeliningClients first(fixture, server, port, "a");
+  first.Connect(kWave);
+  first.AnswerFirst();
+  first.AnswerMiddle();
+  for (TestConnection& at : server.connections) at.text.clear();
+  PipeliningClients second(fixture, server, port, "b");
+  second.Connect(kWave);
+  second.AnswerFirst();
+  MESSAGE("grown by " << program.PeakMemoryKilobytes() - before << " kB");
+  CHECK(program.PeakMemoryKilobytes() - before <= kMemory);
+}
+
 }  // namespace
 }  // namespace dappletiller::testing
--- a/tests/http/parser_test.cpp
+++ b/tests/http/parser_test.cpp
@@ -5,9 +5,15 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <memory>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "base/byte_queue.hpp"
+#include "base/memory_budget.hpp"
 #include "config/platform_config.hpp"
 #include "dispatch/request_classes.hpp"
 #include "http/text.hpp"
@@ -129,6 +135,79 @@
   CHECK_FALSE(parser.done());
 }
 
+// Whoever owns a parser reserves memory for it by these figures: if they were too low, many messages together
+// would exceed the memory of the process.
+TEST_CASE("a parser allocates what it has announced, within what it expects") {
+  constexpr std::size_t kSlack = 2 * http::kMinReceiveBuffer + 1'000;  // and the table of headers
+  const std::string body = Repeat("x", 60'000);
+  const struct {
+    Parser::Kind kind;
+    std::string bytes;
+  } cases[] = {
+      {Parser::Kind::kRequest, kPost + "Content-Length: 60000\r\n\r\n" + body},
+      {Parser::Kind::kRequest, kPost + kChunked + Repeat("5;a=b\r\nxxxxx\r\n", 12'000) + "0\r\n\r\n"},
+      {Parser::Kind::kRequest, kPost + kChunked + "ea60\r\n" + body + "\r\n0\r\nT: 1\r\n\r\n"},
+      {Parser::Kind::kRequest, kPost + "A: " + Repeat("x", 15'000) + "\r\n\r\n"},
+      {Parser::Kind::kResponse, kOk + "Content-Length: 60000\r\n\r\n" + body},
+      {Parser::Kind::kResponse, kOk + kChunked + "ea60\r\n" + body + "\r\n0\r\n\r\n"},
+      {Parser::Kind::kResponse, kOk + "\r\n" + body}};
+  for (const auto& c : cases) {
+    for (const std::size_t step : {std::size_t{1}, std::size_t{700}, std::size_t{16'000}}) {
+      CAPTURE(c.bytes.substr(0, 50));
+      CAPTURE(step);
+      Parser parser(c.kind);
+      std::string_view rest = c.bytes;
+      while (!rest.empty()) {
+        const std::size_t announced = parser.AllocatedToReceive();
+        const std::span<char> buffer = parser.ReceiveBuffer();
+        REQUIRE(parser.allocated() == announced);
+        const std::size_t count = std::min({step, rest.size(), buffer.size()});
+        std::copy_n(rest.begin(), count, buffer.begin());
+        rest.remove_prefix(count);
+        const bool in_body = parser.in_body();
+        if (in_body) REQUIRE(parser.allocated() <= parser.expected_size() + kSlack);
+        parser.Commit(count);
+        const bool has_whole = in_body && parser.message().content_length() && parser.buffered() >= 16'000;
+        if (!has_whole)
+          REQUIRE(parser.allocated() <= parser.buffered() * 2 + http::kMaxReceiveBuffer + kSlack);
+      }
+      parser.OnStreamEnd();
+      REQUIRE(parser.done());
+      const std::size_t size = parser.buffered();
+      auto budget = std::make_shared<MemoryBudget>(1'000'000);
+      MemoryBudget::Reservation memory(budget);
+      memory.GrowTo(parser.allocated());
+      const auto message = parser.TakeMessage(&memory);
+      CHECK(parser.allocated() == 0);
+      memory.ShrinkTo(0);
+      CHECK(budget->used() >= size);
+      CHECK(budget->used() <= size + 1'000);
+    }
+  }
+}
+
+TEST_CASE("what is pipelined frees its memory as its messages are taken") {
+  constexpr std::size_t kSlack = 2 * ByteQueue::kSegmentMemory + http::kMinReceiveBuffer + 1'000;
+  const std::string request = "GET /up HTTP/1.1\r\n\r\n";
+  const std::string all = Repeat(request, 3'000);
+  Parser parser(Parser::Kind::kRequest);
+  for (std::string_view rest = all; !rest.empty();
+       rest.remove_prefix(std::min<std::size_t>(rest.size(), 7'000))) {
+    const std::string_view part = rest.substr(0, 7'000);
+    const std::size_t announced = parser.AllocatedToFeed(part.size());
+    const bool is_behind = parser.done();
+    parser.Feed(part);
+    if (is_behind) CHECK(parser.allocated() <= announced);
+  }
+  int messages = 0;
+  for (; parser.done(); ++messages) {
+    CHECK(parser.allocated() <= parser.buffered() * 26 / 25 + kSlack);
+    parser.TakeMessage();
+  }
+  CHECK(messages == 3'000);
+  CHECK(parser.allocated() == 0);
+}
+
 TEST_CASE("a request is forwarded with its headers except those of its connection") {
   Parser parser(Parser::Kind::kRequest);
   parser.Feed(
