--- a/src/downstream/connection.cpp
+++ b/src/downstream/connection.cpp
@@ -20,6 +20,8 @@
 constexpr Micros kIdleTimeout = 2'100'000;  // without any request; clients must be allowed 2 s
 // Minimum time after connecting before an idle connection is closed.
 constexpr Micros kFirstRequestGrace = 100'000;
+// Between checks for whether a client has received all of its response.
+constexpr Micros kDeliveryCheckInterval = 10'000;
 // Maximum pipelined data kept per client: one request of maximum size, or many small ones.
 constexpr std::size_t kMaxPipelinedBytes = http::kMaxHeadSize + http::kMaxBodySize;
 // Memory of each client for received data even if the memory for requests is used up: the smallest buffer,
@@ -78,13 +80,21 @@
 }
 
 void DownstreamListener::Connection::CloseIfUnusedAfterGrace() {
-  const Micros remaining =
-      awaiting_first_request_ ? connected_at_ + kFirstRequestGrace - listener_.loop_.Now() : 0;
-  if (remaining <= 0) {
+  const Micros now = listener_.loop_.Now();
+  const Micros remaining = awaiting_first_request_ ? connected_at_ + kFirstRequestGrace - now : 0;
+  if (remaining <= 0) return CloseWhenDelivered(now + listener_.options_.linger_timeout);
+  timer_.Set(remaining, [this] { CloseIfUnusedAfterGrace(); });
+}
+
+// A close while the kernel still holds part of the last response would lose that part if the client sends
+// more.
+void DownstreamListener::Connection::CloseWhenDelivered(Micros give_up_at) {
+  if (!listener_.closes_idle()) return StartReceiveTimeout();
+  if (socket.UnacknowledgedBytes() == 0 || listener_.loop_.Now() >= give_up_at) {
     CloseIfUnused();
-  } else {
-    timer_.Set(remaining, [this] { CloseIfUnused(); });
+    return;
   }
+  timer_.Set(kDeliveryCheckInterval, [this, give_up_at] { CloseWhenDelivered(give_up_at); });
 }
 
 void DownstreamListener::Connection::Disconnect() {
@@ -342,8 +352,8 @@
   socket.ResumeReading();
   if (!socket.open() || !idle()) return;
   listener_.admission_.OnIdle(id);
-  if (listener_.closed_) {
-    CloseIfUnused();
+  if (listener_.closes_idle()) {
+    CloseIfUnusedAfterGrace();
   } else {
     listener_.CloseExcessIdle();
   }
--- a/src/downstream/connection.hpp
+++ b/src/downstream/connection.hpp
@@ -40,7 +40,8 @@
   // Closes the connection if it is unused and no request is being received. Reads nothing: a request found
   // here could open an upstream connection, which may close idle clients and reenter this function.
   bool CloseIfUnused();
-  // The same, but waits for the first request of a new connection, which may be on its way.
+  // The same, for a listener that closes idle connections, but waits until the client has received its last
+  // response, and for the first request of a new connection, which may be on its way.
   void CloseIfUnusedAfterGrace();
   // Closes the socket; an open request counts as abandoned by its client.
   void Disconnect();
@@ -64,6 +65,7 @@
  private:
   enum class State { kReading, kWaiting, kWriting, kClosing };
 
+  void CloseWhenDelivered(Micros give_up_at);
   Micros ReceiveDeadline() const;
   void CheckReceiveTime();
   void BufferPipelined(std::size_t count);
--- a/src/downstream/listener.cpp
+++ b/src/downstream/listener.cpp
@@ -162,6 +162,7 @@
     connections_[accepted.id] = std::move(connection);
     admission_.OnOpened(accepted.id, loop_.Now());
     accepted.StartReceiveTimeout();
+    if (closes_idle()) accepted.CloseIfUnusedAfterGrace();
   }
 }
 
--- a/src/downstream/listener.hpp
+++ b/src/downstream/listener.hpp
@@ -91,6 +91,8 @@
   void Remove(Connection& connection);
   void Watch();
   void CloseIdle();
+  // Whether a connection is closed as soon as it is idle.
+  bool closes_idle() const { return closed_ || lame_duck_; }
 
   EventLoop& loop_;
   Log& log_;
--- a/tests/net/answer_delivery_test.cpp
+++ b/tests/net/answer_delivery_test.cpp
@@ -241,6 +241,78 @@
   CHECK(client.HasReceived("Connection: close\r\n"));
 }
 
+// Operators count a connection that is idle 4 s after the drain as a request that was lost.
+TEST_CASE("a connection whose response had begun before a drain is held idle after it") {
+  constexpr Micros kNoneIdleAfter = 4'050 * kMs;  // every time limit is 50 ms longer
+  constexpr Micros kLate = 2'800 * kMs;           // the usual idle time is over only after the limit
+  std::string head = "HTTP/1.1 200 X\r\nContent-Length: 100000\r\n\r\n";
+  std::string body(100'000, 'x');
+  std::string request = SafeRequest("a1");
+  bool reads_slowly = false;
+  SUBCASE("with a length") {}
+  SUBCASE("in chunks") {
+    head = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+    body = "186a0\r\n" + body + "\r\n0\r\n\r\n";
+  }
+  SUBCASE("short, without a length") {
+    head = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+    body = "3\r\nabc\r\n0\r\n\r\n";
+  }
+  SUBCASE("its client reads the last bytes late") { reads_slowly = true; }
+  ProxyFixture fixture;
+  TestServer server;
+  fixture.SetEndpoints({&server});
+  if (reads_slowly) ServeThroughSmallBuffers(fixture);
+  TestConnection client = TestConnection::Connect(fixture.listener.port(), reads_slowly ? kSmallBuffer : 0);
+  client.Send(request);
+  TestConnection& at = fixture.WaitForRequest(server, "a1");
+  at.Send(head);
+  fixture.WaitForData(client, "\r\n\r\n");
+  const Micros drained = fixture.loop.Now();
+  fixture.listener.SetLameDuck(true);
+  std::size_t sent = 0;
+  fixture.WaitUntil("the response ends late", [&] {
+    if (reads_slowly || fixture.loop.Now() > drained + kLate) {
+      sent += at.TrySend(std::string_view(body).substr(sent));
+    }
+    if (fixture.loop.Now() > drained + kLate) client.Received();
+    return client.IsClosed() || fixture.loop.Now() > drained + kNoneIdleAfter;
+  });
+  CHECK(client.closed);
+  CHECK_FALSE(client.reset);
+  CHECK(client.text.size() >= head.size() + body.size());
+}
+
+TEST_CASE("a connection that comes after a drain is held idle") {
+  constexpr Micros kNoneIdleAfter = 4'050 * kMs;
+  ProxyFixture fixture;
+  const Micros drained = fixture.loop.Now();
+  fixture.listener.SetLameDuck(true);
+  fixture.WaitUntil("a while is over", [&] { return fixture.loop.Now() > drained + 2'800 * kMs; });
+  TestConnection client = fixture.ConnectClient();
+  fixture.WaitUntil("the connection is closed",
+                    [&] { return client.IsClosed() || fixture.loop.Now() > drained + kNoneIdleAfter; });
+  CHECK(client.closed);
+}
+
+TEST_CASE("the end of a drain leaves connections open") {
+  ProxyFixture fixture;
+  TestServer server;
+  fixture.SetEndpoints({&server});
+  TestConnection client = fixture.ConnectClient();
+  client.Send(SafeRequest("a1"));
+  TestConnection& at = fixture.WaitForRequest(server, "a1");
+  at.Send("HTTP/1.1 200 X\r\nContent-Length: 100000\r\n\r\n");
+  fixture.WaitForData(client, "\r\n\r\n");
+  fixture.listener.SetLameDuck(true);
+  fixture.listener.SetLameDuck(false);
+  at.Send(std::string(100'000, 'x'));
+  fixture.WaitUntil("the response is whole", [&] { return client.Received().size() > 100'000; });
+  const Micros until = fixture.loop.Now() + 500 * kMs;
+  fixture.WaitUntil("a while is over", [&] { return fixture.loop.Now() > until; });
+  CHECK_FALSE(client.IsClosed());
+}
+
 // ---- Shutdown ----
 
 // A listening socket for the program with small send buffers.
