--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -19,8 +19,8 @@
 constexpr int kHoldTimeDivisor = 2;  // of the time left to the client
 // A server that has sent nothing for this long has paused.
 constexpr Micros kPause = 100'000;
-// A streamed response is given up if its server sends nothing for so long. Up to the usual size it should
-// have been complete by the client's deadline; the client may be waiting for its end.
+// A streamed response is given up if its server sends nothing for so long. One that is known to be short
+// should have been complete by the client's deadline; the client may be waiting for its end.
 constexpr Micros kMaxSilence = 10'000'000;
 constexpr Micros kMaxSilenceOfShort = 1'500'000;
 constexpr Micros kAfterDeadline = 300'000;
@@ -197,7 +197,7 @@
   pool_.RecordReuse(idle_time, true);
   http::MessageRef head = parser_.TakeHead(memory_.Split(parser_.head_size()));
   keep_alive_ = head->keep_alive();
-  is_long_ = head->content_length().value_or(0) > http::kMaxBodySize;
+  is_short_ = head->content_length() && *head->content_length() <= http::kMaxBodySize;
   stream_ = std::make_shared<BodyStream>(*this);
   timer.Set(MaxSilenceEnd() - pool_.loop_.Now(), [this] { CheckSilence(); });
   const bool is_wanted = pool_.dispatcher_.OnResponseStarted(key, std::move(head), stream_);
@@ -242,8 +242,7 @@
 }
 
 Micros UpstreamPool::Connection::MaxSilenceEnd() const {
-  const bool is_long = is_long_ || parser_.body_size() > http::kMaxBodySize;
-  if (is_long) return last_byte_at_ + kMaxSilence;
+  if (!is_short_) return last_byte_at_ + kMaxSilence;
   return std::max(last_byte_at_ + kMaxSilenceOfShort, deadline_ + kAfterDeadline);
 }
 
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -97,7 +97,7 @@
   bool reusable_ = false;
   std::shared_ptr<BodyStream> stream_;  // while the response is passed on as it is received
   bool keep_alive_ = false;             // after that response
-  bool is_long_ = false;                // its stated length is above the usual size
+  bool is_short_ = false;               // its stated length is up to the usual size
 };
 
 }  // namespace dappletiller
